Rename the package to foxhold

The package, its crate name and the adapter's binary (foxhold-adapter) carry the project's name; one import moves for rustfmt's order. No decision changed.

--- a/src/bin/stoatspread-simhost.rs
+++ b/src/bin/foxhold-adapter.rs
@@ -6,10 +6,10 @@
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
-    match stoatspread::wire::Host::default().run(input, output) {
+    match foxhold::wire::Host::default().run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("stoatspread-simhost: {error}");
+            eprintln!("foxhold-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! gateway tells it what happened ([`Event`]) and when, and carries out what it answers ([`Action`]).
 //!
 //! ```
-//! use stoatspread::{Action, Class, Event, Member, MemberState, ObjectId, ListKind, Request, RequestId};
-//! use stoatspread::{Router, ServerId, Settings};
+//! use foxhold::{Action, Class, Event, Member, MemberState, ObjectId, ListKind, Request, RequestId};
+//! use foxhold::{Router, ServerId, Settings};
 //!
 //! let settings = Settings {
 //!     classes: vec![Class { name: "pages".into(), aim: 400_000, ..Class::default() }],
@@ -27,7 +27,7 @@
 //!     ..Request::default() };
 //! router.handle(10, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Attempt { server: ServerId(1), .. })));
-//! # Ok::<(), stoatspread::SettingsError>(())
+//! # Ok::<(), foxhold::SettingsError>(())
 //! ```
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small made-up deployment: one edge zone with caches 1..=3, parents 11..=13 at two hubs, the origin 20.
 #![allow(dead_code)]
 
-use stoatspread::*;
+use foxhold::*;
 
 pub const ORIGIN: ServerId = ServerId(20);
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stoatspread::*;
+use foxhold::*;
 
 /// A gateway with two parents only, an object whose first is `.1` and whose second is `.2`.
 fn two_parents() -> (Gateway, u64, ServerId, ServerId) {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use foxhold::*;
 use std::collections::BTreeMap;
-use stoatspread::*;
 
 struct Dice(u64);
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stoatspread::*;
+use foxhold::*;
 
 #[test]
 fn a_request_is_answered_at_its_deadline_and_nothing_follows() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stoatspread::*;
+use foxhold::*;
 
 const SECOND: Micros = 1_000_000;
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire: a golden exchange, and plain messages on what is malformed.
 
-use stoatspread::wire::{parse_settings, Host};
+use foxhold::wire::{parse_settings, Host};
 
 const PARAMS: &str = r#"{"balancers":1,"bounds":{"cancel":true,"maxAttempts":4,"retryAfter":true,
 "maxRetryAfterMs":1000.0},
@@ -90,7 +90,7 @@
     use std::io::Write;
     use std::process::{Command, Stdio};
     for (input, good) in [("sync 1\neof_batch\n", true), ("sync 1\n", false)] {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_stoatspread-simhost"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_foxhold-adapter"))
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
