--- /dev/null
+++ b/src/core/actor.rs
@@ -0,0 +1,509 @@
+//! The actor: live requests, their attempts and timers, and the list, round the decision module.
+
+use super::*;
+use crate::api::*;
+use crate::Router;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+/// The answer leaves this much before the client gives up: it has a way to go, as the request had.
+const WAY_BACK: Micros = 30_000;
+/// An attempt without a time-out of its own ends this much after the deadline, for the module is to act first.
+const AFTER_DEADLINE: Micros = 2_000;
+/// An attempt that has not been sent by then is not sent at all. It stays well under the time in which drains
+/// and purges must be heeded: what is decided just before such news may still go out just after it.
+const SEND_WITHIN: Duration = Duration::from_millis(500);
+/// A probe without an answer by then has failed.
+const PROBE_TIMEOUT: Micros = 250_000;
+
+/// A request that is held or whose attempts have not all ended.
+struct Live {
+    ask: Ask,
+    /// Gone once it is answered.
+    reply: Option<oneshot::Sender<Answer>>,
+    /// When the client gives up, less the way back.
+    deadline: Micros,
+    attempts: u32,
+    out: u32,
+    /// Attempts that may have run, as far as is known.
+    may_have_run: u32,
+}
+
+/// An attempt that is out.
+struct Out {
+    server: ServerId,
+    sent: Micros,
+    /// Its peer has it.
+    handed_over: bool,
+}
+
+/// A listed server.
+struct Server {
+    name: Arc<str>,
+    address: Arc<str>,
+    /// Its start as told, and by the steady clock.
+    since: Micros,
+    steady_since: Micros,
+    gone: bool,
+    mailbox: mpsc::Sender<Order>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Router(Token),
+    Attempt(Ticket),
+    Expiry(u64),
+    Probe(u64),
+}
+
+struct Actor<P> {
+    router: Router,
+    settings: Arc<Settings>,
+    classes: Vec<Arc<str>>,
+    clock: Clock,
+    peers: P,
+    reports: Reports,
+    servers: HashMap<ServerId, Server>,
+    names: HashMap<Arc<str>, ServerId>,
+    live: HashMap<u64, Live>,
+    attempts: HashMap<Ticket, Out>,
+    probes: HashMap<u64, (ServerId, Micros)>,
+    next_probe: u64,
+    alarms: BinaryHeap<Reverse<(Micros, u64, Alarm)>>,
+    alarm_count: u64,
+    events: VecDeque<Event>,
+}
+
+/// The actor's task and the handle that speaks to it.
+pub struct Running {
+    /// Hands requests over.
+    pub core: Core,
+    /// Ends only with a panic or when every handle is gone.
+    pub task: tokio::task::JoinHandle<()>,
+}
+
+/// Starts the actor on the present `LocalSet`, with the news that it is to know before anything else.
+pub fn start<P: Peers + 'static>(
+    settings: Settings,
+    seed: u64,
+    clock: Clock,
+    peers: P,
+    known: Vec<Message>,
+) -> Result<Running, SettingsError> {
+    let router = Router::new(settings.clone(), seed)?;
+    let (mailbox, inbox) = mpsc::channel(MAILBOX);
+    let settings = Arc::new(settings);
+    let mut actor = Actor {
+        router,
+        classes: settings.classes.iter().map(|c| c.name.as_str().into()).collect(),
+        settings: settings.clone(),
+        clock,
+        peers,
+        reports: Reports(mailbox.clone()),
+        servers: HashMap::new(),
+        names: HashMap::new(),
+        live: HashMap::new(),
+        attempts: HashMap::new(),
+        probes: HashMap::new(),
+        next_probe: 0,
+        alarms: BinaryHeap::new(),
+        alarm_count: 0,
+        events: VecDeque::new(),
+    };
+    for message in known {
+        actor.take(message);
+    }
+    let task = tokio::task::spawn_local(actor.run(inbox));
+    Ok(Running { core: Core { mailbox, next: Arc::new(AtomicU64::new(1)), settings }, task })
+}
+
+impl<P: Peers> Actor<P> {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+        loop {
+            let next = self.alarms.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => self.ring(),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Ask(number, ask, reply) => self.ask(number, *ask, reply),
+            Message::Left(number) => self.drop_request(number, None),
+            Message::Ended(ticket, end) => self.ended(ticket, end),
+            Message::Probed(number, result) => self.probed(number, result),
+            Message::Members { full, members } => self.members(full, members),
+            Message::Purged { object, group, at } => {
+                let age = self.clock.unix().saturating_sub(at);
+                let object = object.map(|o| ObjectId(object_number(&o)));
+                self.events.push_back(Event::Purged { object, group, age });
+            }
+        }
+        self.decide();
+    }
+
+    /// Rings all alarms that are due.
+    fn ring(&mut self) {
+        let now = self.clock.now();
+        while let Some(Reverse((at, _, alarm))) = self.alarms.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.alarms.pop();
+            match alarm {
+                Alarm::Router(token) => self.events.push_back(Event::Timer(token)),
+                Alarm::Attempt(ticket) => self.finish(ticket, Outcome::TimedOut, None),
+                Alarm::Expiry(number) => self.expire(number),
+                Alarm::Probe(number) => self.probed(number, Err(Broken::Written)),
+            }
+            self.decide();
+        }
+    }
+
+    fn alarm(&mut self, at: Micros, alarm: Alarm) {
+        self.alarm_count += 1;
+        self.alarms.push(Reverse((at, self.alarm_count, alarm)));
+    }
+
+    /// Puts what has happened to the module and does what it says, until nothing more follows from that.
+    fn decide(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.router.handle(self.clock.now(), event, &mut actions);
+            for action in std::mem::take(&mut actions) {
+                self.perform(action);
+            }
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Attempt { request, server, timeout, fill } => {
+                self.attempt(request.0, server, timeout, fill)
+            }
+            Action::Cancel { request, attempt } => {
+                let ticket = Ticket { request: request.0, attempt };
+                self.forget(ticket);
+                self.finish(ticket, Outcome::Canceled, None);
+            }
+            Action::Refuse { request, retry_after } => {
+                let wait = (retry_after > 0).then(|| Duration::from_micros(retry_after));
+                let cause = self.cause(request.0);
+                self.answer(request.0, Answer::Refused { wait, cause });
+            }
+            Action::Fail(request) => {
+                let cause = self.cause(request.0);
+                self.answer(request.0, Answer::Failed(cause));
+            }
+            Action::Wake { at, token } => self.alarm(at, Alarm::Router(token)),
+            Action::Probe(server) => self.probe(server),
+            Action::Log(line) => eprintln!("module: {line}"),
+            // The list comes by itself, and there is no wire between routers.
+            Action::Subscribe | Action::FetchList | Action::Tell { .. } => {}
+        }
+    }
+
+    // ---- requests ----
+
+    fn ask(&mut self, number: u64, ask: Ask, reply: oneshot::Sender<Answer>) {
+        let now = self.clock.now();
+        let deadline = now + (ask.allow.as_micros() as Micros).saturating_sub(WAY_BACK);
+        let request = Request {
+            id: RequestId(number),
+            class: ask.class,
+            object: ObjectId(object_number(&ask.object)),
+            part: ask.part.unwrap_or(0),
+            group: ask.group,
+            deadline,
+            size_kb: ask.size_kb,
+            repeat: ask.repeat,
+        };
+        if let Some(until) = ask.valid_until {
+            // The first instant at which it is no longer valid.
+            self.alarm(self.clock.steady(until) + 1, Alarm::Expiry(number));
+        }
+        let live = Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0 };
+        self.live.insert(number, live);
+        if self.expired(number) {
+            self.expire(number);
+        } else {
+            self.events.push_back(Event::Request(request));
+        }
+    }
+
+    fn cause(&self, number: u64) -> Cause {
+        let over = self.live.get(&number).is_some_and(|l| self.clock.now() >= l.deadline);
+        if over {
+            Cause::Deadline
+        } else {
+            Cause::Upstream
+        }
+    }
+
+    fn expired(&self, number: u64) -> bool {
+        let until = self.live.get(&number).and_then(|l| l.ask.valid_until);
+        until.is_some_and(|until| self.clock.unix() > until)
+    }
+
+    /// Ends a request whose credential has expired before its answer began. What may have run of a class that
+    /// must not run twice is not called harmless to repeat.
+    fn expire(&mut self, number: u64) {
+        let Some(live) = self.live.get(&number).filter(|l| l.reply.is_some()) else { return };
+        let effect = self.settings.classes.get(live.ask.class).map_or(Effect::Unsafe, |c| c.effect);
+        let harmless = effect == Effect::Safe || live.may_have_run == 0;
+        let cause = Cause::Expired;
+        let answer = if harmless { Answer::Refused { wait: None, cause } } else { Answer::Failed(cause) };
+        self.drop_request(number, Some(answer));
+    }
+
+    /// Answers a request that the module has not ended, or lets it go with its client, and tells the module.
+    fn drop_request(&mut self, number: u64, answer: Option<Answer>) {
+        let Some(live) = self.live.get_mut(&number) else { return };
+        if let (Some(reply), Some(answer)) = (live.reply.take(), answer) {
+            let _ = reply.send(answer);
+        }
+        self.events.push_back(Event::Left(RequestId(number)));
+        self.tidy(number);
+    }
+
+    /// Gives the one final answer; any later one finds the reply gone.
+    fn answer(&mut self, number: u64, answer: Answer) {
+        if let Some(reply) = self.live.get_mut(&number).and_then(|l| l.reply.take()) {
+            let _ = reply.send(answer); // a client that has left wants none
+        }
+        self.tidy(number);
+    }
+
+    fn tidy(&mut self, number: u64) {
+        if self.live.get(&number).is_some_and(|l| l.reply.is_none() && l.out == 0) {
+            self.live.remove(&number);
+        }
+    }
+
+    // ---- attempts ----
+
+    fn attempt(&mut self, number: u64, server: ServerId, timeout: Micros, fill: Option<Fill>) {
+        if self.live.get(&number).is_some_and(|l| l.reply.is_some()) && self.expired(number) {
+            self.expire(number);
+        }
+        let now = self.clock.now();
+        let Some(live) = self.live.get_mut(&number) else { return };
+        let ticket = Ticket { request: number, attempt: live.attempts };
+        live.attempts += 1;
+        live.out += 1;
+        self.attempts.insert(ticket, Out { server, sent: now, handed_over: false });
+        if live.reply.is_none() {
+            return self.finish(ticket, Outcome::NotSent, None);
+        }
+        let until = if timeout > 0 { now + timeout } else { live.deadline + AFTER_DEADLINE };
+        let source = fill.map(|f| f.source).filter(|s| *s != server);
+        let want = Want {
+            ticket,
+            id: live.ask.id.clone(),
+            class: self.classes[live.ask.class].clone(),
+            object: live.ask.object.clone(),
+            part: live.ask.part,
+            until: self.clock.instant(until),
+            send_by: self.clock.instant(until).min(Instant::now() + SEND_WITHIN),
+            via: source.and_then(|s| self.servers.get(&s)).map(|s| s.name.clone()),
+            keep: fill.map_or(0, |f| f.keep),
+            // 0 has a meaning of its own, and rounding up would let an older copy pass.
+            max_age_ms: fill.map_or(0, |f| if f.max_age > 0 { (f.max_age / 1000).max(1) } else { 0 }),
+            join: fill.is_some_and(|f| f.join),
+            held_only: fill.is_some_and(|f| f.held_only),
+            renew: fill.is_some_and(|f| f.renew),
+            known: live.ask.known.clone(),
+            body: live.ask.body.clone(),
+        };
+        // Full: the peer has far more than it can carry, so the attempt ends unsent.
+        let taken = self.servers.get(&server).is_some_and(|s| s.mailbox.try_send(Order::Want(want)).is_ok());
+        if taken {
+            if let (Some(live), Some(out)) = (self.live.get_mut(&number), self.attempts.get_mut(&ticket)) {
+                live.may_have_run += 1;
+                out.handed_over = true;
+            }
+            self.alarm(until, Alarm::Attempt(ticket));
+        } else {
+            self.finish(ticket, Outcome::NotSent, None);
+        }
+    }
+
+    fn forget(&self, ticket: Ticket) {
+        let server = self.attempts.get(&ticket).and_then(|out| self.servers.get(&out.server));
+        if let Some(server) = server {
+            // Full: the server goes on with it in vain, and its answer finds nobody.
+            let _ = server.mailbox.try_send(Order::Forget(ticket));
+        }
+    }
+
+    fn ended(&mut self, ticket: Ticket, end: End) {
+        if !self.attempts.contains_key(&ticket) {
+            return;
+        }
+        let outcome = match &end {
+            Ok(reply) => match reply.verdict {
+                Verdict::Copy(_) | Verdict::Unchanged(_) => Outcome::Ok,
+                Verdict::Miss => Outcome::Miss,
+                Verdict::Full => Outcome::Full,
+                Verdict::Error => Outcome::Failed,
+                Verdict::Stale => Outcome::NotSent,
+            },
+            Err(broken) if broken.never_ran() => Outcome::ConnectError,
+            Err(_) => Outcome::Reset,
+        };
+        if outcome == Outcome::Ok && self.expired(ticket.request) {
+            self.expire(ticket.request);
+        }
+        self.finish(ticket, outcome, end.ok());
+    }
+
+    /// Ends an attempt; the first end counts and any later one finds it gone. Guards against a peer that
+    /// reports after a time-out or a cancellation, or not at all.
+    fn finish(&mut self, ticket: Ticket, outcome: Outcome, reply: Option<Reply>) {
+        let Some(out) = self.attempts.remove(&ticket) else { return };
+        if outcome == Outcome::TimedOut {
+            if let Some(server) = self.servers.get(&out.server) {
+                let _ = server.mailbox.try_send(Order::Forget(ticket));
+            }
+        }
+        let Some(live) = self.live.get_mut(&ticket.request) else { return };
+        live.out -= 1;
+        if outcome.never_ran() && out.handed_over {
+            live.may_have_run -= 1;
+        }
+        let (note, waited, gauges) =
+            reply.as_ref().map_or((Note::None, 0, &[][..]), |r| (r.note, r.waited, &r.gauges));
+        let report = report(&self.settings, gauges);
+        let answer = match reply.map(|r| r.verdict) {
+            Some(Verdict::Copy(copy)) => Some(Answer::Served(copy)),
+            Some(Verdict::Unchanged(tag)) => Some(Answer::Unchanged(tag)),
+            _ => None,
+        };
+        if let (Some(answer), Some(reply)) = (answer, live.reply.take_if(|_| outcome == Outcome::Ok)) {
+            let _ = reply.send(answer);
+        }
+        self.events.push_back(Event::Ended(AttemptEnd {
+            request: RequestId(ticket.request),
+            attempt: ticket.attempt,
+            server: out.server,
+            outcome,
+            took: self.clock.now().saturating_sub(out.sent),
+            over: live.reply.is_none(),
+            note,
+            waited,
+            report,
+        }));
+        self.tidy(ticket.request);
+    }
+
+    // ---- probes ----
+
+    fn probe(&mut self, server: ServerId) {
+        let number = self.next_probe;
+        self.next_probe += 1;
+        let now = self.clock.now();
+        self.probes.insert(number, (server, now));
+        self.alarm(now + PROBE_TIMEOUT, Alarm::Probe(number));
+        // Full: the alarm ends it.
+        if let Some(server) = self.servers.get(&server) {
+            let _ = server.mailbox.try_send(Order::Probe(number));
+        }
+    }
+
+    fn probed(&mut self, number: u64, result: Result<Vec<(String, f64)>, Broken>) {
+        let Some((server, sent)) = self.probes.remove(&number) else { return };
+        let took = self.clock.now().saturating_sub(sent);
+        let outcome = match result {
+            Ok(_) => Outcome::Ok,
+            Err(Broken::Written) if took >= PROBE_TIMEOUT => Outcome::TimedOut,
+            Err(Broken::Written | Broken::Answering) => Outcome::Reset,
+            Err(_) => Outcome::ConnectError,
+        };
+        let report = report(&self.settings, &result.unwrap_or_default());
+        self.events.push_back(Event::Probed { server, outcome, took, report });
+    }
+
+    // ---- the list ----
+
+    fn members(&mut self, full: bool, members: Vec<Listing>) {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let (mut told, mut dead) = (Vec::new(), Vec::new());
+        if full {
+            self.servers.values_mut().for_each(|s| s.gone = true);
+        }
+        for listing in &members {
+            let (zone, kind) =
+                (place(&self.settings.zones, &listing.zone), place(&self.settings.kinds, &listing.kind));
+            let (Some(zone), Some(kind)) = (zone, kind) else {
+                eprintln!(
+                    "list: {} is of zone {} and kind {}, not both known",
+                    listing.name, listing.zone, listing.kind
+                );
+                continue;
+            };
+            let server = self.number(&listing.name);
+            let old = self.servers.get(&server);
+            // Read once: a second reading could differ by a little and pass for another start.
+            let since = match old {
+                Some(old) if old.since == listing.since => old.steady_since,
+                _ => self.clock.steady(listing.since),
+            };
+            let same = old.is_some_and(|s| s.address == listing.address && s.since == listing.since);
+            if old.is_some() && !same && listing.since > 0 {
+                dead.push((server, since));
+            }
+            if !same && listing.state != MemberState::Gone {
+                // Not known, elsewhere, or a new process: connections to an old one are worth nothing, and
+                // on a machine that vanished they would stay open and silent.
+                let mailbox = self.peers.open(server, listing, self.reports.clone());
+                let (name, address) = (listing.name.clone(), listing.address.clone());
+                let (told_since, steady_since) = (listing.since, since);
+                let entry = Server { name, address, since: told_since, steady_since, gone: false, mailbox };
+                self.servers.insert(server, entry);
+            }
+            if let Some(known) = self.servers.get_mut(&server) {
+                known.gone = listing.state == MemberState::Gone;
+            }
+            let (cell, state, size) = (listing.cell, listing.state, listing.size);
+            told.push(Member { server, zone, kind, cell, state, size, since });
+        }
+        let kind = if full { ListKind::Full } else { ListKind::Changes };
+        self.events.push_back(Event::Members { kind, members: told });
+        // What was sent to a process before its successor started will not be answered any more.
+        let lost = |(ticket, out): (&Ticket, &Out)| {
+            dead.iter().any(|(server, since)| out.server == *server && out.sent < *since).then_some(*ticket)
+        };
+        let lost: Vec<Ticket> = self.attempts.iter().filter_map(lost).collect();
+        for ticket in lost {
+            self.finish(ticket, Outcome::Reset, None);
+        }
+        let attempts = &self.attempts;
+        self.servers.retain(|id, s| !s.gone || attempts.values().any(|out| out.server == *id));
+        let servers = &self.servers;
+        self.names.retain(|_, id| servers.contains_key(id));
+    }
+
+    /// The number by which the module knows a server: a hash of its name, so that all directors agree on it.
+    fn number(&mut self, name: &Arc<str>) -> ServerId {
+        if let Some(server) = self.names.get(name) {
+            return *server;
+        }
+        let mut number = hash(name) as u32;
+        while self.servers.contains_key(&ServerId(number)) {
+            number = number.wrapping_add(1);
+        }
+        self.names.insert(name.clone(), ServerId(number));
+        ServerId(number)
+    }
+}
+
+/// A load report in the settings' order; empty unless all of it is there.
+fn report(settings: &Settings, gauges: &[(String, f64)]) -> Vec<f64> {
+    let value = |name: &String| gauges.iter().find(|g| g.0 == *name).map(|g| g.1);
+    settings.report.iter().map(value).collect::<Option<Vec<f64>>>().unwrap_or_default()
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,367 @@
+//! The core: the actor that owns the decision module, and the typed messages spoken with it.
+//!
+//! It knows no wire. A front turns what its clients say into an [`Ask`] and gets exactly one [`Answer`];
+//! [`Peers`] opens an actor for each server, which is given [`Order`]s and reports how they ended. The actor
+//! never waits for any of them.
+
+mod actor;
+mod clock;
+
+pub use actor::{start, Running};
+pub use clock::Clock;
+
+use crate::api::{MemberState, Micros, Note, ServerId, Settings};
+use bytes::Bytes;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// Messages that wait for the actor; who finds the mailbox full is told at the place of sending.
+const MAILBOX: usize = 4096;
+
+/// A client's request, as any front words it.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// The id that servers are given.
+    pub id: Arc<str>,
+    /// Place among the settings' classes.
+    pub class: usize,
+    /// The object's name.
+    pub object: Arc<str>,
+    /// The part of it, where one was named.
+    pub part: Option<u32>,
+    /// The object's group, which purges may name.
+    pub group: u32,
+    /// Size in KB; 0: not told.
+    pub size_kb: f64,
+    /// Marked as a client's repeat.
+    pub repeat: bool,
+    /// How long the client waits from now on.
+    pub allow: Duration,
+    /// The tag of the client's copy.
+    pub known: Option<Arc<str>>,
+    /// What is to be written.
+    pub body: Bytes,
+    /// The Unix time in microseconds past which no answer may begin; none: the client's credential, if it
+    /// has one, does not expire.
+    pub valid_until: Option<Micros>,
+}
+
+/// What a server gave.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Copy {
+    /// The copy's tag.
+    pub tag: Option<Arc<str>>,
+    /// The bytes, unchanged.
+    pub body: Bytes,
+}
+
+/// Why there is no answer from a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The time to answer was over.
+    Deadline,
+    /// Servers failed it, or none could be asked.
+    Upstream,
+    /// The client's credential expired while the request waited.
+    Expired,
+}
+
+/// The one final answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The bytes asked for.
+    Served(Copy),
+    /// The client's own copy is the one that would be served.
+    Unchanged(Option<Arc<str>>),
+    /// Turned away: nothing ran that may not run again.
+    Refused {
+        /// When to come back, where that is advised.
+        wait: Option<Duration>,
+        /// Why.
+        cause: Cause,
+    },
+    /// Failed: nothing is promised of what ran.
+    Failed(Cause),
+}
+
+/// Names one attempt: the request's number in the core and the attempt's in the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket {
+    /// The request.
+    pub request: u64,
+    /// The attempt.
+    pub attempt: u32,
+}
+
+/// How far an attempt had come when it broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// No connection came up.
+    NotConnected,
+    /// Nothing of it was written.
+    Unwritten,
+    /// A part of it was written; a server runs only what came whole.
+    PartlyWritten,
+    /// It was written whole and nothing came back.
+    Written,
+    /// Its answer had begun.
+    Answering,
+}
+
+impl Broken {
+    /// Whether the attempt surely had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Broken::NotConnected | Broken::Unwritten | Broken::PartlyWritten)
+    }
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Broken::NotConnected => "not connected",
+            Broken::Unwritten => "nothing written",
+            Broken::PartlyWritten => "partly written",
+            Broken::Written => "written, not answered",
+            Broken::Answering => "broke off in the answer",
+        })
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// A server's verdict on an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Here it is.
+    Copy(Copy),
+    /// The client's copy is the one.
+    Unchanged(Option<Arc<str>>),
+    /// Not held; it never ran.
+    Miss,
+    /// No room; it never ran.
+    Full,
+    /// An error; it may have run.
+    Error,
+    /// The request was over already; it never ran.
+    Stale,
+}
+
+/// A server's answer to an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// What it tells of the copy or the fill.
+    pub note: Note,
+    /// Time spent on waiting for the source.
+    pub waited: Micros,
+    /// Load report by name, where one came along.
+    pub gauges: Vec<(String, f64)>,
+}
+
+/// How an attempt ended at its peer.
+pub type End = Result<Reply, Broken>;
+
+/// An attempt as it is put to a peer.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// Names it in reports.
+    pub ticket: Ticket,
+    /// The request's id.
+    pub id: Arc<str>,
+    /// The class's name.
+    pub class: Arc<str>,
+    /// The object's name.
+    pub object: Arc<str>,
+    /// The part.
+    pub part: Option<u32>,
+    /// When the director stops waiting.
+    pub until: Instant,
+    /// Not to be sent after this: by then it may no longer be right to.
+    pub send_by: Instant,
+    /// The server a miss is filled from; none: no fill.
+    pub via: Option<Arc<str>>,
+    /// Rank at which the copy is kept.
+    pub keep: u8,
+    /// The oldest copy that will do, in milliseconds; 0: the class's fresh time.
+    pub max_age_ms: u64,
+    /// Join a fill that is under way.
+    pub join: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
+    /// Renew an ageing copy behind.
+    pub renew: bool,
+    /// The tag of the client's copy.
+    pub known: Option<Arc<str>>,
+    /// What is to be written.
+    pub body: Bytes,
+}
+
+/// What a peer is told to do.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Send an attempt.
+    Want(Want),
+    /// Give one up; its end is not waited for.
+    Forget(Ticket),
+    /// Probe the server and report under this number.
+    Probe(u64),
+}
+
+/// What is told of a member of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its name, the same at every director.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its zone's name.
+    pub zone: String,
+    /// Its kind's name.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub state: MemberState,
+    /// Its size; 0: not told.
+    pub size: f64,
+    /// Unix time of a late start in microseconds, or 0.
+    pub since: Micros,
+}
+
+/// News for the actor.
+#[derive(Debug)]
+pub enum Message {
+    /// A request and where its answer goes.
+    Ask(u64, Box<Ask>, oneshot::Sender<Answer>),
+    /// The client of this request has gone.
+    Left(u64),
+    /// The end of an attempt.
+    Ended(Ticket, End),
+    /// The end of a probe, with its load report.
+    Probed(u64, Result<Vec<(String, f64)>, Broken>),
+    /// News of the list.
+    Members {
+        /// Whether this is the whole list.
+        full: bool,
+        /// The entries.
+        members: Vec<Listing>,
+    },
+    /// Copies older than this are not to be served.
+    Purged {
+        /// One object, or all of the group.
+        object: Option<Arc<str>>,
+        /// The group.
+        group: u32,
+        /// Unix time of the purge in microseconds.
+        at: Micros,
+    },
+}
+
+/// Opens actors for servers.
+pub trait Peers {
+    /// Starts the actor for one server and returns its mailbox; it ends once that is dropped.
+    fn open(&mut self, server: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order>;
+}
+
+/// Where peers and the list report. A full mailbox makes them wait: the actor waits for nobody, so it empties.
+#[derive(Clone, Debug)]
+pub struct Reports(mpsc::Sender<Message>);
+
+impl Reports {
+    /// Wraps a mailbox, for peers that are tested without the actor.
+    pub fn new(mailbox: mpsc::Sender<Message>) -> Self {
+        Reports(mailbox)
+    }
+
+    /// Hands a message over; an actor that has ended wants none.
+    pub async fn send(&self, message: Message) {
+        let _ = self.0.send(message).await;
+    }
+}
+
+/// The handle that fronts and middleware hold.
+#[derive(Clone, Debug)]
+pub struct Core {
+    mailbox: mpsc::Sender<Message>,
+    next: Arc<AtomicU64>,
+    settings: Arc<Settings>,
+}
+
+impl Core {
+    /// The facts that the director was told at its start.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The place of a class by its name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.settings.classes.iter().position(|c| c.name == name)
+    }
+
+    /// Hands a request over. Dropping the [`Pending`] tells the core that the client has gone.
+    pub fn ask(&self, ask: Ask) -> Pending {
+        let request = self.next.fetch_add(1, Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        // Full: the request is turned away at once, which is harmless as nothing ran.
+        let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply)).is_ok();
+        Pending { request, answer: taken.then_some(answer), mailbox: self.mailbox.clone() }
+    }
+
+    /// Where reports go.
+    pub fn reports(&self) -> Reports {
+        Reports(self.mailbox.clone())
+    }
+}
+
+/// A request whose answer is awaited.
+#[derive(Debug)]
+pub struct Pending {
+    request: u64,
+    answer: Option<oneshot::Receiver<Answer>>,
+    mailbox: mpsc::Sender<Message>,
+}
+
+impl Future for Pending {
+    type Output = Answer;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
+        let Some(answer) = self.answer.as_mut() else {
+            return Poll::Ready(Answer::Refused { wait: None, cause: Cause::Upstream });
+        };
+        let answer = std::task::ready!(Pin::new(answer).poll(cx));
+        self.answer = None;
+        // An actor that has ended can't tell what ran.
+        Poll::Ready(answer.unwrap_or(Answer::Failed(Cause::Upstream)))
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.answer.is_some() {
+            // Full: the actor learns of it when it has an answer or the deadline passes.
+            let _ = self.mailbox.try_send(Message::Left(self.request));
+        }
+    }
+}
+
+/// The number by which the module knows an object: its name where that is 16 hex digits, else a hash of it.
+pub fn object_number(name: &str) -> u64 {
+    let hex = name.len() == 16 && name.bytes().all(|b| b.is_ascii_hexdigit());
+    hex.then(|| u64::from_str_radix(name, 16).ok()).flatten().unwrap_or_else(|| hash(name))
+}
+
+/// FNV-1a with a finishing mix: the same on every machine and in every build.
+fn hash(text: &str) -> u64 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    let mut x = text.bytes().fold(0xcbf2_9ce4_8422_2325, step);
+    x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,7 +37,10 @@
 struct Readme;
 
 pub mod api;
+pub mod core;
 mod decide;
+pub mod net;
+pub mod settings;
 pub mod wire;
 
 pub use api::*;
--- /dev/null
+++ b/src/net/board.rs
@@ -0,0 +1,224 @@
+//! The notice board: the actor that follows it, and its events decoded.
+
+use crate::api::MemberState;
+use crate::core::{Listing, Message, Reports};
+use crate::settings::micros;
+use bytes::BytesMut;
+use miniserde::{json, Deserialize};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// The board writes at least once a second; after this long without a byte the connection counts as dead.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// A connection that is not up by then is tried anew.
+const CONNECT: Duration = Duration::from_millis(1000);
+/// The first wait before a new connection; doubled up to the longest.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_millis(800);
+/// The longest line: a whole list of thousands of members fits.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// An event of the board.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Notice {
+    /// Its number.
+    pub rev: u64,
+    /// What it tells.
+    pub news: News,
+}
+
+/// What an event tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// Members that changed, or all of them.
+    Members {
+        /// Whether this is the whole list.
+        full: bool,
+        /// The entries.
+        members: Vec<Listing>,
+    },
+    /// A purge of one object or of a group.
+    Purge {
+        /// The object; none: the group.
+        object: Option<String>,
+        /// The group.
+        group: u32,
+        /// Unix milliseconds.
+        ms: f64,
+    },
+    /// Of a kind not known here.
+    Other,
+}
+
+/// An event as it is written.
+#[derive(Deserialize)]
+pub(crate) struct RawNotice {
+    rev: u64,
+    pool: Option<RawPool>,
+    flush: Option<RawFlush>,
+}
+
+#[derive(Deserialize)]
+struct RawPool {
+    complete: Option<bool>,
+    members: Vec<RawMember>,
+}
+
+#[derive(Deserialize)]
+struct RawMember {
+    id: String,
+    host_port: String,
+    locality: String,
+    flavor: String,
+    cell: Option<f64>,
+    phase: String,
+    size: Option<f64>,
+    up_since_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct RawFlush {
+    asset: Option<String>,
+    collection: Option<u32>,
+    ms: f64,
+}
+
+impl Notice {
+    pub(crate) fn from_raw(raw: RawNotice) -> Result<Notice, String> {
+        let rev = raw.rev;
+        let news = match (raw.pool, raw.flush) {
+            (Some(pool), _) => News::Members {
+                full: pool.complete.unwrap_or(false),
+                members: pool.members.into_iter().map(RawMember::listing).collect::<Result<_, _>>()?,
+            },
+            (None, Some(flush)) => {
+                if flush.asset.is_none() && flush.collection.is_none() {
+                    return Err(format!("event {rev} purges neither an object nor a group"));
+                }
+                News::Purge { object: flush.asset, group: flush.collection.unwrap_or(0), ms: flush.ms }
+            }
+            (None, None) => News::Other,
+        };
+        Ok(Notice { rev, news })
+    }
+
+    /// What the core is told of it.
+    pub fn message(self) -> Option<Message> {
+        match self.news {
+            News::Members { full, members } => Some(Message::Members { full, members }),
+            News::Purge { object, group, ms } => {
+                Some(Message::Purged { object: object.map(Into::into), group, at: micros(ms) })
+            }
+            News::Other => None,
+        }
+    }
+}
+
+impl RawMember {
+    fn listing(self) -> Result<Listing, String> {
+        let state = match self.phase.as_str() {
+            "in_service" => MemberState::Running,
+            "terminating" => MemberState::Draining,
+            "terminated" => MemberState::Gone,
+            other => return Err(format!("member {} is in phase '{other}', which is not known", self.id)),
+        };
+        Ok(Listing {
+            name: self.id.into(),
+            address: self.host_port.into(),
+            zone: self.locality,
+            kind: self.flavor,
+            cell: self.cell.unwrap_or(0.0) as u32,
+            state,
+            size: self.size.unwrap_or(0.0),
+            since: micros(self.up_since_ms.unwrap_or(0.0)),
+        })
+    }
+}
+
+/// A line of the board.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Line {
+    /// The number of its last event, sent each second.
+    Last(u64),
+    /// An event.
+    Notice(Notice),
+}
+
+/// Reads one line.
+pub fn parse_line(line: &[u8]) -> Result<Line, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "not text".to_owned())?.trim();
+    if !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit()) {
+        return text.parse().map(Line::Last).map_err(|_| "a number out of range".into());
+    }
+    let raw: RawNotice = json::from_str(text).map_err(|_| "not an event".to_owned())?;
+    Notice::from_raw(raw).map(Line::Notice)
+}
+
+/// Takes the next whole line off the buffer.
+pub fn next_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, String> {
+    match buffer.iter().position(|b| *b == b'\n') {
+        Some(end) => {
+            let mut line = buffer.split_to(end + 1);
+            line.truncate(end);
+            Ok(Some(line))
+        }
+        None if buffer.len() > LONGEST_LINE => Err("a line is too long".into()),
+        None => Ok(None),
+    }
+}
+
+/// Follows the board for as long as the program runs, from the event after `last` on.
+pub async fn follow(address: String, mut last: u64, reports: Reports) {
+    let mut wait = FIRST_WAIT;
+    loop {
+        let before = last;
+        let error = connection(&address, &mut last, &reports).await;
+        eprintln!("board: {error}; connecting anew after event {last}");
+        wait = if last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
+        sleep(wait).await;
+    }
+}
+
+/// Follows one connection to its end and says what that was.
+async fn connection(address: &str, last: &mut u64, reports: &Reports) -> String {
+    let mut stream = match timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return format!("not connected: {error}"),
+        Err(_) => return "not connected in time".into(),
+    };
+    if let Err(error) = stream.write_all(format!("watch {last}\n").as_bytes()).await {
+        return format!("broke off: {error}");
+    }
+    let mut buffer = BytesMut::with_capacity(16 * 1024);
+    loop {
+        match timeout(SILENCE, stream.read_buf(&mut buffer)).await {
+            Ok(Ok(0)) => return "closed".into(),
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return format!("broke off: {error}"),
+            Err(_) => return "silent".into(),
+        }
+        loop {
+            let line = match next_line(&mut buffer) {
+                Ok(Some(line)) if line.is_empty() => continue,
+                Ok(Some(line)) => line,
+                Ok(None) => break,
+                Err(error) => return error,
+            };
+            match parse_line(&line) {
+                // Events come in order, so a number ahead of ours means that some were lost on the way.
+                Ok(Line::Last(number)) if number > *last => return format!("events up to {number} missed"),
+                Ok(Line::Last(_)) => {}
+                Ok(Line::Notice(notice)) if notice.rev <= *last => {}
+                Ok(Line::Notice(notice)) => {
+                    *last = notice.rev;
+                    if let Some(message) = notice.message() {
+                        reports.send(message).await;
+                    }
+                }
+                Err(error) => return format!("bad line: {error}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,83 @@
+//! The configuration that the platform hands a director.
+
+use super::board::{self, Notice};
+use crate::api::Settings;
+use crate::settings::{decode_settings, decode_transport, Transport};
+use miniserde::json::{self, Value};
+use miniserde::Deserialize;
+
+/// What a director is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Where clients connect.
+    pub listen: String,
+    /// The notice board's address.
+    pub board: String,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The module's settings.
+    pub settings: Settings,
+    /// What they say of connections.
+    pub transport: Transport,
+    /// The last event that `known` holds.
+    pub rev: u64,
+    /// The notice board's events of the start.
+    pub known: Vec<Notice>,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    listen: String,
+    board: Option<String>,
+    seed: Option<Value>,
+    limits: Option<Limits>,
+    known: Option<Known>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Known {
+    rev: u64,
+    notices: Vec<board::RawNotice>,
+}
+
+impl Config {
+    /// Reads a configuration; the error is one plain line.
+    pub fn parse(text: &str) -> Result<Config, String> {
+        let raw: Raw = json::from_str(text)
+            .map_err(|_| "not JSON, or without 'listen', 'settings' or a readable 'known'".to_owned())?;
+        let settings = decode_settings(&raw.settings).map_err(|e| format!("settings: {e}"))?;
+        let transport = decode_transport(&raw.settings).map_err(|e| format!("settings: {e}"))?;
+        let (rev, notices) = raw.known.map_or((0, Vec::new()), |k| (k.rev, k.notices));
+        let known = notices.into_iter().map(Notice::from_raw).collect::<Result<_, _>>();
+        Ok(Config {
+            listen: raw.listen,
+            board: raw.board.unwrap_or_default(),
+            seed: seed(raw.seed.as_ref())?,
+            sockets: raw.limits.and_then(|l| l.sockets).map_or(1024, |n| n.max(64.0) as usize),
+            settings,
+            transport,
+            rev,
+            known: known.map_err(|e| format!("known: {e}"))?,
+        })
+    }
+}
+
+fn seed(value: Option<&Value>) -> Result<u64, String> {
+    match value {
+        None => Ok(0),
+        Some(Value::String(hex)) => {
+            u64::from_str_radix(hex, 16).map_err(|_| "seed: not 16 hex digits".into())
+        }
+        Some(number) => {
+            crate::settings::real(number).map(|n| n as u64).ok_or_else(|| "seed: not a number".into())
+        }
+    }
+}
--- /dev/null
+++ b/src/net/servers.rs
@@ -0,0 +1,429 @@
+//! Servers: an actor for each cache, parent and origin, and its multiplexed connections.
+//!
+//! The actor takes orders from the core and places each on a connection; every connection is a task of its
+//! own that reports ends straight to the core. An attempt that was not written when its connection ended goes
+//! back to the actor, which places it once more.
+
+use super::lines::{self, Content, Reader};
+use crate::api::ServerId;
+use crate::core::{Broken, Listing, Message, Order, Peers, Reports, Ticket, Want};
+use crate::settings::Transport;
+use bytes::{Buf, BytesMut};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// Orders that wait for an actor, or for a connection; the core ends attempts that find no place as not sent.
+const MAILBOX: usize = 512;
+/// Connections to one server at a time, so that all servers together fit the descriptor limit.
+const MOST_CONNECTIONS: usize = 8;
+/// Bytes that wait to be written; further requests stay queued, where they can still be called off.
+const OUT_BUFFER: usize = 64 * 1024;
+/// An answer this long awaited without a byte on its connection, when it is given up, shows that the
+/// connection may be dead: a machine that vanished leaves it open and silent, also after its successor came.
+const SILENCE: Duration = Duration::from_millis(1000);
+/// Ids that were given up, whose answers may still be on the way.
+const MOST_FORGOTTEN: usize = 4096;
+
+/// Opens an actor for each server.
+#[derive(Clone, Debug)]
+pub struct Servers {
+    /// What the settings say of connections.
+    pub transport: Transport,
+}
+
+impl Peers for Servers {
+    fn open(&mut self, _: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order> {
+        let (mailbox, orders) = mpsc::channel(MAILBOX);
+        let (to_actor, news) = mpsc::channel(MAILBOX);
+        let actor = Actor {
+            address: listing.address.clone(),
+            transport: self.transport.clone(),
+            reports,
+            to_actor,
+            connections: Vec::new(),
+            next: 0,
+        };
+        tokio::task::spawn_local(actor.run(orders, news));
+        mailbox
+    }
+}
+
+/// What a connection tells its actor.
+enum News {
+    /// The attempt needs its place no longer.
+    Done(u64, Ticket),
+    /// Nothing new should be placed on this connection.
+    Suspect(u64),
+    /// It has ended; these orders were not written.
+    Closed(u64, Vec<Order>),
+}
+
+struct Connection {
+    number: u64,
+    orders: mpsc::Sender<Order>,
+    open: HashMap<Ticket, Arc<str>>,
+    suspect: bool,
+}
+
+struct Actor {
+    address: Arc<str>,
+    transport: Transport,
+    reports: Reports,
+    to_actor: mpsc::Sender<News>,
+    connections: Vec<Connection>,
+    next: u64,
+}
+
+impl Actor {
+    async fn run(mut self, mut orders: mpsc::Receiver<Order>, mut news: mpsc::Receiver<News>) {
+        loop {
+            tokio::select! {
+                order = orders.recv() => match order {
+                    Some(order) => self.order(order, false).await,
+                    // The server has left the list, or another process took its place: nothing new comes,
+                    // and the connections end with their last answer or when they have been idle.
+                    None => return,
+                },
+                Some(news) = news.recv() => match news {
+                    News::Done(number, ticket) => {
+                        if let Some(c) = self.connections.iter_mut().find(|c| c.number == number) {
+                            c.open.remove(&ticket);
+                        }
+                        self.connections.retain(|c| !(c.suspect && c.open.is_empty()));
+                    }
+                    News::Suspect(number) => {
+                        let found = self.connections.iter_mut().find(|c| c.number == number);
+                        found.into_iter().for_each(|c| c.suspect = true);
+                        self.connections.retain(|c| !(c.suspect && c.open.is_empty()));
+                    }
+                    News::Closed(number, unsent) => {
+                        self.connections.retain(|c| c.number != number);
+                        for order in unsent {
+                            self.order(order, true).await;
+                        }
+                    }
+                },
+            }
+        }
+    }
+
+    async fn order(&mut self, order: Order, again: bool) {
+        match order {
+            Order::Want(want) => {
+                let ticket = want.ticket;
+                let place = self.place(&want);
+                let id = want.id.clone();
+                let taken = place.is_some_and(|c| {
+                    let taken = c.orders.try_send(Order::Want(want)).is_ok();
+                    if taken {
+                        c.open.insert(ticket, id);
+                    }
+                    taken
+                });
+                if !taken {
+                    let end = if again { Broken::NotConnected } else { Broken::Unwritten };
+                    self.reports.send(Message::Ended(ticket, Err(end))).await;
+                }
+            }
+            Order::Forget(ticket) => {
+                if let Some(c) = self.connections.iter_mut().find(|c| c.open.contains_key(&ticket)) {
+                    // Full: the answer comes in vain.
+                    let _ = c.orders.try_send(Order::Forget(ticket));
+                }
+            }
+            Order::Probe(number) => {
+                let place = self.connections.iter().position(|c| !c.suspect).or_else(|| self.connect());
+                let taken = place.is_some_and(|n| {
+                    self.connections.get(n).is_some_and(|c| c.orders.try_send(Order::Probe(number)).is_ok())
+                });
+                if !taken {
+                    self.reports.send(Message::Probed(number, Err(Broken::Unwritten))).await;
+                }
+            }
+        }
+    }
+
+    /// The connection for an attempt: the fullest that has room, so that others fall idle and close. Two
+    /// attempts of one id never share a connection, for their answers could not be told apart.
+    fn place(&mut self, want: &Want) -> Option<&mut Connection> {
+        let streams = self.transport.streams;
+        let fits =
+            |c: &Connection| !c.suspect && c.open.len() < streams && c.open.values().all(|id| *id != want.id);
+        let found = self.connections.iter().enumerate().filter(|(_, c)| fits(c));
+        let best = found.max_by_key(|(_, c)| c.open.len()).map(|(n, _)| n);
+        let place = best.or_else(|| self.connect())?;
+        self.connections.get_mut(place)
+    }
+
+    /// Begins a new connection; none beyond the most.
+    fn connect(&mut self) -> Option<usize> {
+        if self.connections.len() >= MOST_CONNECTIONS {
+            return None;
+        }
+        let (mailbox, orders) = mpsc::channel(MAILBOX);
+        let number = self.next;
+        self.next += 1;
+        let task = Task {
+            number,
+            transport: self.transport.clone(),
+            reports: self.reports.clone(),
+            actor: self.to_actor.clone(),
+            queue: VecDeque::new(),
+            open: HashMap::new(),
+            probes: HashMap::new(),
+            ids: HashMap::new(),
+            forgotten: HashSet::new(),
+            out: BytesMut::new(),
+            queued: 0,
+            written: 0,
+            last_read: Instant::now(),
+        };
+        tokio::task::spawn_local(task.run(self.address.clone(), orders));
+        self.connections.push(Connection { number, orders: mailbox, open: HashMap::new(), suspect: false });
+        Some(self.connections.len() - 1)
+    }
+}
+
+/// An attempt whose request was put into the out buffer.
+struct Open {
+    id: Arc<str>,
+    /// Where its request begins and ends in all that this connection has to write.
+    start: u64,
+    end: u64,
+    since: Instant,
+}
+
+/// One connection.
+struct Task {
+    number: u64,
+    transport: Transport,
+    reports: Reports,
+    actor: mpsc::Sender<News>,
+    /// Not yet in the out buffer.
+    queue: VecDeque<Order>,
+    open: HashMap<Ticket, Open>,
+    /// Probes that are out, by their tag.
+    probes: HashMap<Arc<str>, u64>,
+    ids: HashMap<Arc<str>, Ticket>,
+    forgotten: HashSet<Arc<str>>,
+    out: BytesMut,
+    /// Bytes ever put into the out buffer, and ever written.
+    queued: u64,
+    written: u64,
+    last_read: Instant,
+}
+
+impl Task {
+    async fn run(mut self, address: Arc<str>, mut orders: mpsc::Receiver<Order>) {
+        match self.connect(&address, &mut orders).await {
+            Some(stream) => {
+                let answering = self.serve(stream, &mut orders).await;
+                self.end(answering, orders).await;
+            }
+            None => self.refused(orders).await,
+        }
+    }
+
+    /// Brings the connection up, and meanwhile takes orders, for they may be called off again.
+    async fn connect(&mut self, address: &str, orders: &mut mpsc::Receiver<Order>) -> Option<TcpStream> {
+        let connecting = timeout(self.transport.connect_timeout, TcpStream::connect(address));
+        tokio::pin!(connecting);
+        let mut closed = false;
+        loop {
+            tokio::select! {
+                connected = &mut connecting => {
+                    let stream = connected.ok()?.ok()?;
+                    stream.set_nodelay(true).ok()?;
+                    return Some(stream);
+                }
+                order = orders.recv(), if !closed => match order {
+                    Some(order) => self.take(order).await,
+                    None => closed = true,
+                },
+            }
+        }
+    }
+
+    /// Puts an order into the queue. What is given up unsent leaves no trace on the wire.
+    async fn take(&mut self, order: Order) {
+        let Order::Forget(ticket) = order else {
+            self.queue.push_back(order);
+            return;
+        };
+        let before = self.queue.len();
+        self.queue.retain(|o| !matches!(o, Order::Want(w) if w.ticket == ticket));
+        if let Some(open) = self.open.remove(&ticket) {
+            if open.since.elapsed() >= SILENCE && self.last_read <= open.since {
+                let _ = self.actor.send(News::Suspect(self.number)).await;
+            }
+            self.ids.remove(&open.id);
+            let from = self.out.len();
+            lines::write_forget(&open.id, &mut self.out);
+            self.queued += (self.out.len() - from) as u64;
+            if self.forgotten.len() >= MOST_FORGOTTEN {
+                self.forgotten.clear(); // an answer to one of these would end the connection, no more
+            }
+            self.forgotten.insert(open.id);
+            let _ = self.actor.send(News::Done(self.number, ticket)).await;
+        } else if self.queue.len() < before {
+            let _ = self.actor.send(News::Done(self.number, ticket)).await;
+        }
+    }
+
+    /// Moves orders from the queue to the out buffer.
+    async fn fill(&mut self) {
+        while self.out.len() < OUT_BUFFER {
+            let Some(order) = self.queue.pop_front() else { return };
+            let (now, from) = (Instant::now(), self.out.len());
+            match order {
+                Order::Want(want) if now > want.send_by => {
+                    self.report(want.ticket, Err(Broken::Unwritten)).await;
+                }
+                // Its answer could not be told from the late one to an attempt that was given up here.
+                Order::Want(want) if self.forgotten.contains(&want.id) || self.ids.contains_key(&want.id) => {
+                    self.report(want.ticket, Err(Broken::Unwritten)).await;
+                }
+                Order::Want(want) => {
+                    lines::write_want(&want, now, &mut self.out);
+                    let start = self.queued;
+                    self.queued += (self.out.len() - from) as u64;
+                    let open = Open { id: want.id.clone(), start, end: self.queued, since: now };
+                    self.ids.insert(want.id, want.ticket);
+                    self.open.insert(want.ticket, open);
+                }
+                Order::Probe(number) => {
+                    let tag: Arc<str> = format!("p{number}").into();
+                    lines::write_probe(&tag, &mut self.out);
+                    self.queued += (self.out.len() - from) as u64;
+                    self.probes.insert(tag, number);
+                }
+                Order::Forget(_) => {} // taken at once, never queued
+            }
+        }
+    }
+
+    async fn report(&mut self, ticket: Ticket, end: crate::core::End) {
+        self.reports.send(Message::Ended(ticket, end)).await;
+        let _ = self.actor.send(News::Done(self.number, ticket)).await;
+    }
+
+    /// Writes, reads and takes orders until the connection ends. Returns the id whose answer was cut off.
+    async fn serve(&mut self, mut stream: TcpStream, orders: &mut mpsc::Receiver<Order>) -> Option<Arc<str>> {
+        let (mut read, mut write) = stream.split();
+        let (mut reader, mut buffer) = (Reader::default(), BytesMut::with_capacity(8 * 1024));
+        // Ends before the server would end it, so that no request crosses the server's close.
+        let idle = self.transport.idle.mul_f64(0.8);
+        let (mut used, mut closed) = (Instant::now(), false);
+        self.last_read = used;
+        loop {
+            self.fill().await;
+            let free = self.open.is_empty() && self.probes.is_empty() && self.out.is_empty();
+            if free && closed {
+                return None;
+            }
+            tokio::select! {
+                order = orders.recv(), if !closed => match order {
+                    Some(order) => {
+                        used = Instant::now();
+                        self.take(order).await;
+                    }
+                    None => closed = true,
+                },
+                sent = write.write(&self.out), if !self.out.is_empty() => match sent {
+                    Ok(n) if n > 0 => {
+                        self.out.advance(n);
+                        self.written += n as u64;
+                    }
+                    _ => return reader.answering().map(Into::into),
+                },
+                got = read.read_buf(&mut buffer) => {
+                    if !matches!(got, Ok(n) if n > 0) {
+                        return reader.answering().map(Into::into);
+                    }
+                    used = Instant::now();
+                    self.last_read = used;
+                    loop {
+                        match reader.next(&mut buffer) {
+                            Ok(Some(message)) => {
+                                if let Err(error) = self.answer(message).await {
+                                    eprintln!("server {:?}: {error}", read.peer_addr());
+                                    return None;
+                                }
+                            }
+                            Ok(None) => break,
+                            Err(error) => {
+                                eprintln!("server {:?}: {error}", read.peer_addr());
+                                return reader.answering().map(Into::into);
+                            }
+                        }
+                    }
+                }
+                () = sleep_until(used + idle), if free => return None,
+            }
+        }
+    }
+
+    async fn answer(&mut self, message: lines::Message) -> Result<(), lines::BadLine> {
+        match message.content {
+            Content::Probe(well, gauges) => {
+                let number = self.probes.remove(&message.id).ok_or(lines::BadLine("no such probe"))?;
+                let result = if well { Ok(gauges) } else { Err(Broken::Answering) };
+                self.reports.send(Message::Probed(number, result)).await;
+            }
+            Content::Reply(reply) => match self.ids.remove(&message.id) {
+                Some(ticket) => {
+                    self.open.remove(&ticket);
+                    self.report(ticket, Ok(reply)).await;
+                }
+                None if self.forgotten.remove(&message.id) => {}
+                None => return Err(lines::BadLine("an answer to nothing that was asked")),
+            },
+        }
+        Ok(())
+    }
+
+    /// No connection came up: nothing ran.
+    async fn refused(mut self, mut orders: mpsc::Receiver<Order>) {
+        orders.close();
+        while let Some(order) = orders.recv().await {
+            self.take(order).await;
+        }
+        for order in std::mem::take(&mut self.queue) {
+            match order {
+                Order::Want(want) => self.report(want.ticket, Err(Broken::NotConnected)).await,
+                Order::Probe(number) => {
+                    self.reports.send(Message::Probed(number, Err(Broken::NotConnected))).await;
+                }
+                Order::Forget(_) => {}
+            }
+        }
+        let _ = self.actor.send(News::Closed(self.number, Vec::new())).await;
+    }
+
+    /// Ends all that is open by how far each had come, and hands back what was not written.
+    async fn end(mut self, answering: Option<Arc<str>>, mut orders: mpsc::Receiver<Order>) {
+        orders.close();
+        while let Some(order) = orders.recv().await {
+            self.take(order).await;
+        }
+        for (ticket, open) in std::mem::take(&mut self.open) {
+            let how = match () {
+                () if answering.as_ref() == Some(&open.id) => Broken::Answering,
+                () if self.written >= open.end => Broken::Written,
+                () if self.written > open.start => Broken::PartlyWritten,
+                () => Broken::Unwritten,
+            };
+            self.report(ticket, Err(how)).await;
+        }
+        for number in std::mem::take(&mut self.probes).into_values() {
+            self.reports.send(Message::Probed(number, Err(Broken::Written))).await;
+        }
+        let unsent = std::mem::take(&mut self.queue).into();
+        let _ = self.actor.send(News::Closed(self.number, unsent)).await;
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,9 +1,9 @@
 //! The bench's text wire: parses batches of events, formats replies, hosts many routers. It decides nothing.
 
 use crate::api::*;
+use crate::settings::{micros, parse_settings};
 use crate::Router;
 use base64::{engine::general_purpose::STANDARD, Engine};
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
@@ -145,182 +145,6 @@
     }
 }
 
-fn micros(ms: f64) -> Micros {
-    (ms * 1000.0).round().max(0.0) as Micros
-}
-
-/// A JSON settings object with plain messages for what is wrong in it.
-struct Params<'a>(&'a Value, &'a str);
-
-impl<'a> Params<'a> {
-    fn bad(&self, key: &str, why: &str) -> String {
-        format!("message 'start', field 'params', key '{}{key}': {why}", self.1)
-    }
-
-    fn get(&self, key: &str) -> Option<&'a Value> {
-        self.0.get(key).filter(|v| !v.is_null())
-    }
-
-    fn part(&self, key: &str, path: &'a str) -> Parsed<Params<'a>> {
-        match self.get(key) {
-            None => Ok(Params(&Value::Null, path)),
-            Some(v) if v.is_object() => Ok(Params(v, path)),
-            Some(_) => Err(self.bad(key, "not an object")),
-        }
-    }
-
-    fn real(&self, key: &str, none: f64) -> Parsed<f64> {
-        match self.get(key) {
-            None => Ok(none),
-            Some(v) => v.as_f64().ok_or_else(|| self.bad(key, "not a number")),
-        }
-    }
-
-    fn time(&self, key: &str, none: f64) -> Parsed<Micros> {
-        Ok(micros(self.real(key, none)?))
-    }
-
-    fn flag(&self, key: &str) -> Parsed<bool> {
-        match self.get(key) {
-            None => Ok(false),
-            Some(v) => v.as_bool().ok_or_else(|| self.bad(key, "neither true nor false")),
-        }
-    }
-
-    fn text(&self, key: &str, none: &'static str) -> Parsed<&'a str> {
-        match self.get(key) {
-            None => Ok(none),
-            Some(v) => v.as_str().ok_or_else(|| self.bad(key, "not a text")),
-        }
-    }
-
-    fn list(&self, key: &str) -> Parsed<&'a [Value]> {
-        match self.get(key) {
-            None => Ok(&[]),
-            Some(v) => Ok(v.as_array().ok_or_else(|| self.bad(key, "not a list"))?),
-        }
-    }
-
-    fn reals(&self, key: &str) -> Parsed<Vec<f64>> {
-        let one = |v: &Value| v.as_f64().ok_or_else(|| self.bad(key, "holds something that is not a number"));
-        self.list(key)?.iter().map(one).collect()
-    }
-
-    fn flags(&self, key: &str) -> Parsed<Vec<bool>> {
-        let one = |v: &Value| v.as_bool().ok_or_else(|| self.bad(key, "holds something that is not a bool"));
-        self.list(key)?.iter().map(one).collect()
-    }
-
-    fn texts(&self, key: &str) -> Parsed<Vec<String>> {
-        let one = |v: &Value| {
-            v.as_str().map(str::to_owned).ok_or_else(|| self.bad(key, "holds something but text"))
-        };
-        self.list(key)?.iter().map(one).collect()
-    }
-
-    fn one_of<T: Copy>(&self, key: &str, none: T, known: &[(&str, T)]) -> Parsed<T> {
-        let Some(value) = self.get(key) else { return Ok(none) };
-        let found = known.iter().find(|(name, _)| value.as_str() == Some(name));
-        found.map(|(_, v)| *v).ok_or_else(|| self.bad(key, &format!("{value} is not known")))
-    }
-}
-
-/// Reads the settings of a `start` message. Keys that are not known are passed over.
-pub fn parse_settings(text: &str) -> Result<Settings, String> {
-    let json: Value =
-        serde_json::from_str(text).map_err(|e| format!("message 'start', field 'params': {e}"))?;
-    let top = Params(&json, "");
-    if !json.is_object() {
-        return Err("message 'start', field 'params': not an object".into());
-    }
-    let info = top.part("familyInfo", "familyInfo.")?;
-    let bounds = top.part("bounds", "bounds.")?;
-    let rules = top.part("rules", "rules.")?;
-    let (fresh, grace) = (info.reals("lifetimeByClassMs")?, info.reals("classGraceMs")?);
-    let (writes, stale) = (info.flags("passOn")?, info.reals("worthWhenOld")?);
-    let mut classes = Vec::new();
-    for (i, value) in top.list("services")?.iter().enumerate() {
-        let c = Params(value, "services[].");
-        let scopes = [("all", KeyScope::All), ("zone", KeyScope::Zone), ("cell", KeyScope::Cell)];
-        let keyed = Effect::Keyed {
-            scope: c.one_of("keyScope", KeyScope::All, &scopes)?,
-            window: c.time("windowMs", 0.0)?,
-        };
-        let effects =
-            [("idempotent", Effect::Safe), ("deduplicated", keyed), ("at_most_once", Effect::Unsafe)];
-        if c.get("name").is_none() {
-            return Err(c.bad("name", "missing"));
-        }
-        classes.push(Class {
-            name: c.text("name", "")?.to_owned(),
-            aim: c.time("aimMs", 0.0)?,
-            aim_stretch: c.real("aimStretch", 0.0)?,
-            deadline: c.time("deadlineMs", 0.0)?,
-            worth: c.real("worth", 1.0)?,
-            late_share: c.real("lateShare", 0.0)?,
-            effect: c.one_of("effect", Effect::Unsafe, &effects)?,
-            fresh: micros(fresh.get(i).copied().unwrap_or(0.0)),
-            grace: micros(grace.get(i).copied().unwrap_or(0.0)),
-            stale_share: stale.get(i).copied().unwrap_or(1.0),
-            write: writes.get(i).copied().unwrap_or(false),
-        });
-    }
-    let zones = top.texts("zones")?;
-    let zone = top.text("zone", "")?;
-    let zone = zones.iter().position(|z| z == zone).ok_or_else(|| top.bad("zone", "not among 'zones'"))?;
-    let parent = info.real("midKind", -1.0)?;
-    let fall_ms = rules.time("overloadForMs", 0.0)?;
-    Ok(Settings {
-        classes,
-        kinds: top.texts("kinds")?,
-        parent_kind: (parent >= 0.0).then_some(parent as usize),
-        origin_kind: info.real("storeKind", f64::MAX)? as usize,
-        zones,
-        zone,
-        routers_by_zone: info.reals("instancesByZone")?.iter().map(|n| *n as u32).collect(),
-        routers: top.real("balancers", 1.0)? as u32,
-        zone_link: info.reals("inletKbPerS")?,
-        flow: info.real("flowKbPerS", 0.0)?,
-        sizes_told: matches!(top.text("weights", "off")?, "nominal" | "rough"),
-        must_ask: top.text("discovery", "push")? == "ask",
-        cancel: bounds.flag("cancel")?,
-        second_copies: bounds.flag("secondCopies")?,
-        retry_advice: bounds.flag("retryAfter")?,
-        max_advice: bounds.time("maxRetryAfterMs", 0.0)?,
-        max_attempts: bounds.real("maxAttempts", 0.0)? as u32,
-        probes: bounds.flag("probes")?,
-        peers: bounds.flag("peers")?,
-        report: top.part("report", "report.")?.texts("names")?,
-        direct: info.flag("passThroughOk")?,
-        joins: info.flag("collapses")?,
-        siblings: info.one_of(
-            "peersFill",
-            Siblings::None,
-            &[("off", Siblings::None), ("location", Siblings::Zone), ("any", Siblings::Any)],
-        )?,
-        notes: info.one_of(
-            "noteLevel",
-            Notes::None,
-            &[("off", Notes::None), ("hit", Notes::Hit), ("all", Notes::All)],
-        )?,
-        drain_grace: rules.time("stopSendingWithinMs", 0.0)?,
-        cold_cache: ColdRule {
-            floor: rules.real("coldFrom", 0.0)?,
-            warm_within: rules.time("warmWithinMs", 0.0)?,
-            multiple: rules.real("fallMultiple", 0.0)?,
-            window: fall_ms,
-        },
-        cold_parent: ColdRule {
-            floor: info.real("parentFloor", 0.0)?,
-            warm_within: info.time("parentWarmsInMs", 0.0)?,
-            multiple: info.real("parentLimitFactor", 0.0)?,
-            window: fall_ms,
-        },
-        purge_grace: info.time("purgeGraceMs", 0.0)?,
-        purge_done: info.time("purgeDoneMs", 0.0)?,
-    })
-}
-
 struct Hosted {
     router: Router,
     zones: Vec<String>,
@@ -408,7 +232,8 @@
         let who: u32 = f.number("who")?;
         if message == "start" {
             let seed = f.number("entropy")?;
-            let settings = parse_settings(f.tail("params")?)?;
+            let settings = parse_settings(f.tail("params")?)
+                .map_err(|e| format!("message 'start', field 'params': {e}"))?;
             let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
             let (zones, kinds) = (settings.zones.clone(), settings.kinds.clone());
             let router =
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,7 @@
 //! The wire: a golden exchange, and plain messages on what is malformed.
 
-use foxhold::wire::{parse_settings, Host};
+use foxhold::settings::parse_settings;
+use foxhold::wire::Host;
 
 const PARAMS: &str = r#"{"balancers":1,"bounds":{"cancel":true,"maxAttempts":4,"retryAfter":true,
 "maxRetryAfterMs":1000.0},
