--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -5,10 +5,11 @@
 use crate::Router;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use tokio::time::sleep_until;
 
 /// The answer leaves this much before the client gives up: it has a way to go, as the request had.
 const WAY_BACK: Micros = 30_000;
-/// An attempt without a time-out of its own ends this much after the deadline, for the module is to act first.
+/// An attempt without a time-out of its own ends this much after the deadline: the module is to act first.
 const AFTER_DEADLINE: Micros = 2_000;
 /// An attempt that has not been sent by then is not sent at all. It stays well under the time in which drains
 /// and purges must be heeded: what is decided just before such news may still go out just after it.
@@ -126,7 +127,7 @@
                     Some(message) => self.take(message),
                     None => return,
                 },
-                () = tokio::time::sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => self.ring(),
+                () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => self.ring(),
             }
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -270,7 +270,8 @@
     fn open(&mut self, server: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order>;
 }
 
-/// Where peers and the list report. A full mailbox makes them wait: the actor waits for nobody, so it empties.
+/// Where peers and the list report. A full mailbox makes them wait: the actor waits for nobody, so it
+/// empties.
 #[derive(Clone, Debug)]
 pub struct Reports(mpsc::Sender<Message>);
 
