Add the second front: signed URLs, URI Signing tokens, xDS, middleware

src/signed checks HMAC-signed URLs and RFC 9246 tokens without clock or I/O; src/net/signed.rs listens where deploy/front.json says (it says nowhere); src/xds.rs reads and writes Cluster and ClusterLoadAssignment; src/middleware.rs is the tower layer and service. The serving loop moved to src/net/serve.rs, so that both fronts share it.

The module learns one thing: a request whose group is not told may be of any group, so that a purge by group also holds for requests of the second front, whose links may not name one.

--- a/src/api.rs
+++ b/src/api.rs
@@ -242,8 +242,8 @@
     pub object: ObjectId,
     /// The part of it.
     pub part: u32,
-    /// The object's group; purges may name it.
-    pub group: u32,
+    /// The object's group, which purges may name; none: not told, so that it may be any.
+    pub group: Option<u32>,
     /// When this client gives up.
     pub deadline: Micros,
     /// Size in KB; 0: not told.
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -28,6 +28,8 @@
     out: u32,
     /// Attempts that may have run, as far as is known.
     may_have_run: u32,
+    /// An attempt failed for another reason than want of room.
+    failed: bool,
 }
 
 /// An attempt that is out.
@@ -115,7 +117,7 @@
         actor.take(message);
     }
     let task = tokio::task::spawn_local(actor.run(inbox));
-    Ok(Running { core: Core { mailbox, next: Arc::new(AtomicU64::new(1)), settings }, task })
+    Ok(Running { core: Core { mailbox, next: Arc::new(AtomicU64::new(1)), seed, settings }, task })
 }
 
 impl<P: Peers> Actor<P> {
@@ -225,10 +227,10 @@
             repeat: ask.repeat,
         };
         if let Some(until) = ask.valid_until {
-            // The first instant at which it is no longer valid.
-            self.alarm(self.clock.steady(until) + 1, Alarm::Expiry(number));
+            self.alarm(self.clock.steady(until), Alarm::Expiry(number));
         }
-        let live = Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0 };
+        let live =
+            Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0, failed: false };
         self.live.insert(number, live);
         if self.expired(number) {
             self.expire(number);
@@ -238,17 +240,16 @@
     }
 
     fn cause(&self, number: u64) -> Cause {
-        let over = self.live.get(&number).is_some_and(|l| self.clock.now() >= l.deadline);
-        if over {
-            Cause::Deadline
-        } else {
-            Cause::Upstream
+        match self.live.get(&number) {
+            Some(live) if self.clock.now() >= live.deadline => Cause::Deadline,
+            Some(live) if live.failed => Cause::Upstream,
+            _ => Cause::Busy,
         }
     }
 
     fn expired(&self, number: u64) -> bool {
         let until = self.live.get(&number).and_then(|l| l.ask.valid_until);
-        until.is_some_and(|until| self.clock.unix() > until)
+        until.is_some_and(|until| self.clock.unix() >= until)
     }
 
     /// Ends a request whose credential has expired before its answer began. What may have run of a class that
@@ -374,6 +375,7 @@
         }
         let Some(live) = self.live.get_mut(&ticket.request) else { return };
         live.out -= 1;
+        live.failed |= !matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::NotSent | Outcome::Canceled);
         if outcome.never_ran() && out.handed_over {
             live.may_have_run -= 1;
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -35,8 +35,8 @@
     pub object: Arc<str>,
     /// The part of it, where one was named.
     pub part: Option<u32>,
-    /// The object's group, which purges may name.
-    pub group: u32,
+    /// The object's group, which purges may name; none: not told, so that it may be any.
+    pub group: Option<u32>,
     /// Size in KB; 0: not told.
     pub size_kb: f64,
     /// Marked as a client's repeat.
@@ -47,7 +47,7 @@
     pub known: Option<Arc<str>>,
     /// What is to be written.
     pub body: Bytes,
-    /// The Unix time in microseconds past which no answer may begin; none: the client's credential, if it
+    /// The Unix time in microseconds from which no answer may begin; none: the client's credential, if it
     /// has one, does not expire.
     pub valid_until: Option<Micros>,
 }
@@ -64,6 +64,8 @@
 /// Why there is no answer from a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
+    /// There was no room for it.
+    Busy,
     /// The time to answer was over.
     Deadline,
     /// Servers failed it, or none could be asked.
@@ -292,6 +294,7 @@
 pub struct Core {
     mailbox: mpsc::Sender<Message>,
     next: Arc<AtomicU64>,
+    seed: u64,
     settings: Arc<Settings>,
 }
 
@@ -306,6 +309,12 @@
         self.settings.classes.iter().position(|c| c.name == name)
     }
 
+    /// An id for a request that came without one: 16 hex digits, each time others.
+    pub fn fresh_id(&self) -> Arc<str> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        format!("{:016x}", finish(self.seed.wrapping_add(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)))).into()
+    }
+
     /// Hands a request over. Dropping the [`Pending`] tells the core that the client has gone.
     pub fn ask(&self, ask: Ask) -> Pending {
         let request = self.next.fetch_add(1, Ordering::Relaxed);
@@ -334,7 +343,7 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
         let Some(answer) = self.answer.as_mut() else {
-            return Poll::Ready(Answer::Refused { wait: None, cause: Cause::Upstream });
+            return Poll::Ready(Answer::Refused { wait: None, cause: Cause::Busy });
         };
         let answer = std::task::ready!(Pin::new(answer).poll(cx));
         self.answer = None;
@@ -352,6 +361,12 @@
     }
 }
 
+/// Whether a name can be passed on to servers unchanged, as a word among fields.
+pub fn is_name(text: &str) -> bool {
+    let good = |b: u8| b.is_ascii_graphic() && b != b',' && b != b'=';
+    !text.is_empty() && text.len() <= 256 && text.bytes().all(good)
+}
+
 /// The number by which the module knows an object: its name where that is 16 hex digits, else a hash of it.
 pub fn object_number(name: &str) -> u64 {
     let hex = name.len() == 16 && name.bytes().all(|b| b.is_ascii_hexdigit());
@@ -361,7 +376,11 @@
 /// FNV-1a with a finishing mix: the same on every machine and in every build.
 fn hash(text: &str) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    let mut x = text.bytes().fold(0xcbf2_9ce4_8422_2325, step);
+    finish(text.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
+
+/// Mixes all bits of a number with each other; no two numbers give the same.
+fn finish(mut x: u64) -> u64 {
     x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     x ^ (x >> 33)
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -517,8 +517,10 @@
 
     /// The oldest copy that will do for an object under purge, if it is.
     fn purge_age(&self, request: &Request, now: Micros) -> Option<Micros> {
-        let hit =
-            |p: &&Purge| p.until > now && p.object.map_or(p.group == request.group, |o| o == request.object);
+        let named = |p: &Purge| {
+            p.object.map_or(request.group.is_none_or(|group| group == p.group), |o| o == request.object)
+        };
+        let hit = |p: &&Purge| p.until > now && named(p);
         self.purges.iter().filter(hit).map(|p| now.saturating_sub(p.at).max(1)).min()
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,9 +39,13 @@
 pub mod api;
 pub mod core;
 mod decide;
+#[cfg(feature = "middleware")]
+pub mod middleware;
 pub mod net;
 pub mod settings;
+pub mod signed;
 pub mod wire;
+pub mod xds;
 
 pub use api::*;
 pub use decide::Router;
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -104,9 +104,10 @@
         Ok(Notice { rev, news })
     }
 
-    /// What the core is told of it.
-    pub fn message(self) -> Option<Message> {
+    /// What the core is told of it; nothing of members, where the list comes from elsewhere.
+    pub fn message(self, purges_only: bool) -> Option<Message> {
         match self.news {
+            News::Members { .. } if purges_only => None,
             News::Members { full, members } => Some(Message::Members { full, members }),
             News::Purge { object, group, ms } => {
                 Some(Message::Purged { object: object.map(Into::into), group, at: micros(ms) })
@@ -170,11 +171,11 @@
 }
 
 /// Follows the board for as long as the program runs, from the event after `last` on.
-pub async fn follow(address: String, mut last: u64, reports: Reports) {
+pub async fn follow(address: String, mut last: u64, purges_only: bool, reports: Reports) {
     let mut wait = FIRST_WAIT;
     loop {
         let before = last;
-        let error = connection(&address, &mut last, &reports).await;
+        let error = connection(&address, &mut last, purges_only, &reports).await;
         eprintln!("board: {error}; connecting anew after event {last}");
         wait = if last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
         sleep(wait).await;
@@ -182,7 +183,7 @@
 }
 
 /// Follows one connection to its end and says what that was.
-async fn connection(address: &str, last: &mut u64, reports: &Reports) -> String {
+async fn connection(address: &str, last: &mut u64, purges_only: bool, reports: &Reports) -> String {
     let mut stream = match timeout(CONNECT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return format!("not connected: {error}"),
@@ -213,7 +214,7 @@
                 Ok(Line::Notice(notice)) if notice.rev <= *last => {}
                 Ok(Line::Notice(notice)) => {
                     *last = notice.rev;
-                    if let Some(message) = notice.message() {
+                    if let Some(message) = notice.message(purges_only) {
                         reports.send(message).await;
                     }
                 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -53,10 +53,17 @@
 }
 
 impl Head {
-    /// The value of a header that is there once.
+    /// The value of a header; the first, where there are more.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
     }
+
+    /// The value of a header that is there just once.
+    pub fn only(&self, name: &str) -> Option<&str> {
+        let mut found = self.headers.iter().filter(|h| h.0 == name);
+        let first = found.next()?;
+        found.next().is_none().then_some(first.1.as_str())
+    }
 }
 
 /// Takes the head of a request off the buffer, once it has come whole.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,17 +5,25 @@
 pub mod config;
 pub mod http;
 pub mod lines;
+pub mod serve;
 pub mod servers;
+pub mod signed;
+pub mod xds_file;
 
 use crate::core::{self, Clock};
-use clients::{Listening, Platform};
+use crate::signed::Counts;
+use clients::Platform;
 use config::Config;
+use serve::Shared;
 use servers::Servers;
+use signed::{FrontFile, Metrics, Signed};
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
 /// After SIGTERM connections and requests keep coming for this long, and are served.
@@ -23,34 +31,54 @@
 /// The least that the longest deadline counts as when the program ends.
 const LEAST_DEADLINE: Duration = Duration::from_secs(3);
 
-/// Runs a director until `terminated` is done and what it had taken by then is answered.
-pub async fn run(config: Config, terminated: impl std::future::Future<Output = ()>) -> Result<(), String> {
+/// Runs a director until `terminated` is done and what it had taken by then is answered. The second front
+/// runs beside the platform's where its file says so.
+pub async fn run(
+    config: Config,
+    second: Option<FrontFile>,
+    terminated: impl Future<Output = ()>,
+) -> Result<(), String> {
     let Config { listen, board, seed, sockets, settings, transport, rev, known } = config;
     let longest = transport.longest_deadline.max(LEAST_DEADLINE);
-    let known = known.into_iter().filter_map(board::Notice::message).collect();
-    let running = core::start(settings, seed, Clock::system(), Servers { transport }, known)
-        .map_err(|e| e.to_string())?;
+    let clock = Clock::system();
+    let xds = second.as_ref().and_then(|file| file.xds.clone());
+    let listed = xds.as_deref().map(xds_file::read).transpose()?;
+    // Where the list comes from a file, the board tells of purges only.
+    let purges_only = listed.is_some();
+    let known = known.into_iter().filter_map(|notice| notice.message(purges_only));
+    let (text, list) = listed.unzip();
+    let known = list.into_iter().chain(known).collect();
+    let running =
+        core::start(settings, seed, clock, Servers { transport }, known).map_err(|e| e.to_string())?;
     let core = running.core;
-    let listener = TcpListener::bind(&listen).await.map_err(|e| format!("listen on {listen}: {e}"))?;
+    if let (Some(path), Some(text)) = (xds, text) {
+        tokio::task::spawn_local(xds_file::follow(path, text, core.reports()));
+    }
     if !board.is_empty() {
-        tokio::task::spawn_local(board::follow(board, rev, core.reports()));
+        tokio::task::spawn_local(board::follow(board, rev, purges_only, core.reports()));
     }
     let (close, closing) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
-    let front = Platform(core.clone());
     // Clients hold a third of the descriptors at most; a few more places let a new one in before an old one
     // is seen to have gone.
     let most = sockets * 2 / 5;
-    let shared =
-        Listening { core, front, most, largest_body: clients::LARGEST_WRITE, closing, open: open.clone() };
-    let accepting = tokio::task::spawn_local(clients::listen(listener, shared));
+    let share = || Shared { core: core.clone(), most, closing: closing.clone(), open: open.clone() };
+    let mut accepting = vec![serve::listen(&listen, share(), Platform(core.clone())).await?];
+    if let Some(FrontFile { listen, metrics, keys, .. }) = second {
+        let counts = Arc::new(Counts::default());
+        if let Some(metrics) = metrics.filter(|m| !m.is_empty()) {
+            accepting.push(serve::listen(&metrics, share(), Metrics(counts.clone())).await?);
+        }
+        let front = Signed { core: core.clone(), keys, clock, counts };
+        accepting.push(serve::listen(&listen, share(), front).await?);
+    }
     tokio::select! {
         () = terminated => {}
         end = running.task => return Err(format!("the core ended: {end:?}")),
     }
     let told = Instant::now();
     sleep(STILL_COMING).await;
-    accepting.abort();
+    accepting.iter().for_each(JoinHandle::abort);
     let _ = close.send(true);
     while open.get() > 0 && told.elapsed() < longest + STILL_COMING {
         sleep(Duration::from_millis(5)).await;
--- /dev/null
+++ b/src/net/signed.rs
@@ -0,0 +1,126 @@
+//! The second front: signed URLs and tokens. It listens where a file says, and is off without one.
+
+use super::clients::bare_tag;
+use super::http::{Head, Response};
+use super::serve::Front;
+use crate::core::{Answer, Ask, Clock, Core};
+use crate::signed::{self, Counts, Denied, KeyFile, Keys, Worded};
+use bytes::Bytes;
+use miniserde::{json, Deserialize};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// What the front's file says.
+#[derive(Debug)]
+pub struct FrontFile {
+    /// Where clients connect.
+    pub listen: String,
+    /// Where the counts can be read; none: nowhere.
+    pub metrics: Option<String>,
+    /// How credentials are checked.
+    pub keys: Keys,
+    /// An xDS file to take the members from, instead of the board.
+    pub xds: Option<PathBuf>,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    listen: Option<String>,
+    metrics: Option<String>,
+    keys: Option<String>,
+    xds: Option<String>,
+}
+
+impl FrontFile {
+    /// Reads the file; none where it says nowhere to listen. Paths in it are taken from its own folder.
+    pub fn read(path: &Path) -> Result<Option<FrontFile>, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        let raw: Raw = json::from_str(&text).map_err(|_| format!("{name}: not a front's file in JSON"))?;
+        let Some(listen) = raw.listen.filter(|l| !l.is_empty()) else { return Ok(None) };
+        let beside = |file: String| path.parent().unwrap_or(Path::new("")).join(file);
+        let keys = beside(raw.keys.ok_or_else(|| format!("{name}: 'keys' names no file"))?);
+        let keys_name = keys.display();
+        let text = std::fs::read_to_string(&keys).map_err(|e| format!("{keys_name}: {e}"))?;
+        let file: KeyFile = json::from_str(&text).map_err(|_| format!("{keys_name}: not keys in JSON"))?;
+        let keys = Keys::new(file).map_err(|e| format!("{keys_name}: {e}"))?;
+        Ok(Some(FrontFile { listen, metrics: raw.metrics, keys, xds: raw.xds.map(beside) }))
+    }
+}
+
+/// The front: checks each request, and words each answer.
+pub struct Signed {
+    /// Where checked requests go.
+    pub core: Core,
+    /// How they are checked.
+    pub keys: Keys,
+    /// What time it is.
+    pub clock: Clock,
+    /// How each ended.
+    pub counts: Arc<Counts>,
+}
+
+impl Signed {
+    fn say(&self, worded: Worded) -> Response {
+        self.counts.add(worded.outcome);
+        let mut response = Response { body: worded.body, ..Response::empty(worded.status) };
+        match worded.status {
+            200 => response = response.with("Content-Type", "application/octet-stream".into()),
+            304 => {}
+            // So that nothing between here and the client keeps a refusal for others.
+            _ => response = response.with("Cache-Control", "no-store".into()),
+        }
+        if let Some(tag) = worded.tag {
+            response = response.with("ETag", format!("\"{tag}\""));
+        }
+        if let Some(seconds) = worded.retry_after {
+            response = response.with("Retry-After", seconds.to_string());
+        }
+        response
+    }
+
+    fn check(&self, head: &Head) -> Result<signed::Grant, Denied> {
+        let authority = head.only("host").ok_or(Denied::Malformed)?;
+        signed::check(&self.keys, authority, &head.target, self.clock.unix())
+    }
+}
+
+impl Front for Signed {
+    fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response> {
+        if head.target == "/alive" {
+            return Err(Response::empty(200));
+        }
+        let grant = self.check(head).map_err(|denied| self.say(signed::word(Err(denied))))?;
+        let known = head.only("if-none-match").map(bare_tag);
+        let id = self.core.fresh_id();
+        signed::ask(self.core.settings(), &head.method, &grant, id, known, body).map_err(|status| {
+            self.counts.add("bad_request");
+            Response::empty(status)
+        })
+    }
+
+    fn word(&self, answer: Answer) -> Response {
+        self.say(signed::word(Ok(answer)))
+    }
+}
+
+/// Gives the counts out, at `/metrics` of a listener of their own.
+pub struct Metrics(
+    /// The counts.
+    pub Arc<Counts>,
+);
+
+impl Front for Metrics {
+    fn read(&self, head: &Head, _: Bytes) -> Result<Ask, Response> {
+        if head.target != "/metrics" {
+            return Err(Response::empty(404));
+        }
+        let body = self.0.exposition().into();
+        let kind = "text/plain; version=0.0.4".into();
+        Err(Response { body, ..Response::empty(200) }.with("Content-Type", kind))
+    }
+
+    fn word(&self, _: Answer) -> Response {
+        Response::empty(404) // nothing is asked here
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -257,7 +257,7 @@
                     object: f.object("file")?.unwrap_or_default(),
                     deadline: f.time("clientDeadlineMs")?,
                     size_kb: f.real_or("lengthKb", 0.0)?.max(0.0),
-                    group: f.number_or("batchId", 0)?,
+                    group: Some(f.number_or("batchId", 0)?),
                     part: f.number_or("part", 0)?,
                     repeat: f.number_or("stateBits", 0u32)? & 2 != 0,
                 })
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -142,7 +142,7 @@
             object: ObjectId(object),
             deadline: self.now.saturating_add(2_000_000),
             size_kb: 50.0,
-            group: (object % 32) as u32,
+            group: Some((object % 32) as u32),
             ..Request::default()
         }
     }
