--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Two forms are known. A signed URL ends in `Expires`, `KeyName` and `Signature`, an HMAC over all that
 //! stands before. A URI Signing token (RFC 9246) is a JWT in the attribute `URISigningPackage`. Either is
-//! checked against the octets that came, then stripped, before the object is named. Nothing here logs a target, and
-//! keys never show in `Debug`.
+//! checked against the octets that came, then stripped, before the object is named. Nothing here logs a
+//! target, and keys never show in `Debug`.
 
 mod keys;
 mod request;
--- a/src/xds.rs
+++ b/src/xds.rs
@@ -1,9 +1,10 @@
 //! Members in xDS form: a `DiscoveryResponse` in proto3 JSON, as Envoy reads it from a file, and back.
 //!
 //! A `Cluster` is a kind of server and carries its name; its endpoints stand in a `ClusterLoadAssignment`,
-//! its own or one beside it. An endpoint's zone is its locality's `zone`, its size its load balancing weight.
-//! Its name, cell and start stand in the metadata under `foxhold`; without a name it goes by its host name, and
-//! without that by its address. Fields may be spelt in either form; what is not known is passed over.
+//! its own or one beside it. An endpoint's zone is its locality's `zone`, its size its load balancing
+//! weight. Its name, cell and start stand in the metadata under `foxhold`; without a name it goes by its
+//! host name, and without that by its address. Fields may be spelt in either form; what is not known is
+//! passed over.
 
 use crate::api::MemberState;
 use crate::core::Listing;
--- /dev/null
+++ b/tests/director.rs
@@ -0,0 +1,191 @@
+//! The platform's front on loopback, from a client to stand-in servers and back.
+
+mod standin;
+
+use foxhold::core::Clock;
+use foxhold::net::clients::Platform;
+use standin::*;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+struct Site {
+    cache: Server,
+    parent: Server,
+    origin: Server,
+    address: String,
+}
+
+async fn site(manner: Manner) -> Site {
+    let (cache, parent) = (Server::start(manner.clone()).await, Server::start(manner.clone()).await);
+    let origin = Server::start(manner).await;
+    let members = vec![
+        cache.listing("s-cache", "edge", "cache"),
+        parent.listing("s-parent", "hub", "parent"),
+        origin.listing("s-origin", "hub", "origin"),
+    ];
+    let core = start(settings(), Clock::system(), members);
+    let address = serve(&core, Platform(core.clone())).await;
+    Site { cache, parent, origin, address }
+}
+
+fn get(object: &str, more: &str) -> String {
+    format!(
+        "GET /ops/videos/{object}?block=3 HTTP/1.1\r\nHost: a\r\nX-Job-Id: 9b1f03aa5c7e2d41\r\n\
+         X-Allow-Ms: 1000\r\nX-Family: 17\r\nConnection: close\r\n{more}\r\n"
+    )
+}
+
+fn put(body: &str) -> String {
+    format!(
+        "PUT /ops/filing/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nX-Job-Id: 9b1f03aa5c7e2d42\r\n\
+         X-Allow-Ms: 800\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+const COPY: Manner = Manner::Says("ID ACK tag=4be0c1927d55a6f3,minted=1,res=cached 5\r\nbytes\r\n");
+
+#[test]
+fn a_hit_passes_id_class_object_part_and_bytes_unchanged() {
+    local(async {
+        let site = site(COPY).await;
+        let answer = send(&site.address, &get("7f3a9c21e0b4d655", "")).await;
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"bytes"[..]));
+        assert_eq!(answer.header("etag"), Some("\"4be0c1927d55a6f3\""));
+        let wants = site.cache.wants();
+        assert_eq!(wants.len(), 1);
+        let fields = "want 9b1f03aa5c7e2d41 kind=videos,obj=7f3a9c21e0b4d655,seg=3,ms=";
+        assert!(wants[0].starts_with(fields), "{wants:?}");
+        assert!(wants[0].contains(",via=s-parent,tier=1 0"), "{wants:?}");
+        assert!(site.parent.wants().is_empty() && site.origin.wants().is_empty());
+    });
+}
+
+#[test]
+fn a_clients_copy_that_holds_is_a_304_without_a_body() {
+    local(async {
+        let site = site(Manner::Says("ID NOMOD tag=aa,res=cached 0\r\n\r\n")).await;
+        let answer = send(&site.address, &get("7f3a9c21e0b4d655", "If-None-Match: \"aa\"\r\n")).await;
+        assert_eq!((answer.status, answer.body.len()), (304, 0));
+        assert_eq!(answer.header("etag"), Some("\"aa\""));
+        assert!(site.cache.wants()[0].contains(",known=aa "), "{:?}", site.cache.wants());
+    });
+}
+
+#[test]
+fn a_refusal_is_given_at_once_and_says_when_to_come_back() {
+    local(async {
+        let site = site(Manner::Says("ID AGAIN - 0\r\n\r\n")).await;
+        let begun = Instant::now();
+        let answer = send(&site.address, &get("7f3a9c21e0b4d655", "")).await;
+        assert_eq!(answer.status, 503);
+        let wait: u64 = answer.header("x-wait-ms").expect("advice").parse().expect("a number");
+        assert!((400..=1000).contains(&wait), "{wait}");
+        assert!(begun.elapsed() < Duration::from_millis(700), "held back: {:?}", begun.elapsed());
+    });
+}
+
+#[test]
+fn a_write_that_may_have_run_is_sent_once_and_not_called_harmless() {
+    for manner in [Manner::Closes, Manner::BreaksOff, Manner::Silent, Manner::Says("ID EIO - 0\r\n\r\n")] {
+        local(async {
+            let site = site(manner.clone()).await;
+            let answer = send(&site.address, &put("a filing")).await;
+            let sent = site.cache.wants().len() + site.parent.wants().len() + site.origin.wants().len();
+            assert_eq!(sent, 1, "{manner:?}");
+            assert!(matches!(answer.status, 502 | 504), "{manner:?}: {answer:?}");
+        });
+    }
+}
+
+#[test]
+fn a_write_that_surely_did_not_run_is_refused_and_may_come_again() {
+    local(async {
+        let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = gone.local_addr().expect("an address").to_string();
+        drop(gone); // nobody listens there any more
+        let members = vec![listing("s-origin", &address, "hub", "origin")];
+        let core = start(settings(), Clock::system(), members);
+        let address = serve(&core, Platform(core.clone())).await;
+        assert_eq!(send(&address, &put("a filing")).await.status, 503);
+    });
+}
+
+#[test]
+fn a_read_that_broke_off_is_asked_for_elsewhere_and_never_half_served() {
+    for manner in [Manner::Closes, Manner::BreaksOff] {
+        local(async {
+            let site = site(COPY).await;
+            *site.cache.manner.borrow_mut() = manner;
+            let answer = send(&site.address, &get("7f3a9c21e0b4d655", "")).await;
+            assert_eq!((answer.status, &answer.body[..]), (200, &b"bytes"[..]));
+        });
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_given_up() {
+    local(async {
+        let site = site(Manner::Silent).await;
+        let mut stream = TcpStream::connect(&site.address).await.expect("a listener");
+        stream.write_all(get("7f3a9c21e0b4d655", "").as_bytes()).await.expect("a reader");
+        while site.cache.wants().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        drop(stream);
+        let given_up = || site.cache.lines.borrow().iter().any(|l| l == "never_mind 9b1f03aa5c7e2d41");
+        while !given_up() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+#[test]
+fn what_can_t_be_read_is_answered_and_the_connection_ends() {
+    local(async {
+        let site = site(COPY).await;
+        let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(20_000));
+        let cases = [
+            ("GET\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\nbad header\r\n\r\n", 400),
+            ("PUT /ops/filing/a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            ("PUT /ops/filing/a HTTP/1.1\r\nContent-Length: 48001\r\n\r\n", 413),
+            ("PUT /ops/filing/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+            (&long, 431),
+            ("GET /ops/videos/a HTTP/1.1\r\nConnection: close\r\n\r\n", 400),
+            ("GET /ops/nothing/a HTTP/1.1\r\nConnection: close\r\n\r\n", 404),
+            ("PUT /ops/videos/a HTTP/1.1\r\nConnection: close\r\n\r\n", 405),
+            ("GET /alive HTTP/1.1\r\nConnection: close\r\n\r\n", 200),
+        ];
+        for (request, status) in cases {
+            assert_eq!(send(&site.address, request).await.status, status, "{:.60}", request);
+        }
+        assert!(site.cache.wants().is_empty());
+    });
+}
+
+#[test]
+fn a_connection_carries_one_request_after_another_also_when_they_come_together() {
+    local(async {
+        let site = site(COPY).await;
+        let mut stream = TcpStream::connect(&site.address).await.expect("a listener");
+        let both = get("7f3a9c21e0b4d655", "").replace("Connection: close\r\n", "").repeat(2);
+        stream.write_all(both.as_bytes()).await.expect("a reader");
+        let mut bytes = Vec::new();
+        while bytes.windows(5).filter(|w| w == b"bytes").count() < 2 {
+            assert!(stream.read_buf(&mut bytes).await.expect("an answer") > 0, "closed early");
+        }
+    });
+}
+
+#[test]
+fn a_bad_answer_ends_its_connection_and_only_that() {
+    local(async {
+        let site = site(COPY).await;
+        *site.cache.manner.borrow_mut() = Manner::Says("ID WHAT - 0\r\n\r\n");
+        assert_eq!(send(&site.address, &get("7f3a9c21e0b4d655", "")).await.status, 200, "served elsewhere");
+        *site.cache.manner.borrow_mut() = COPY;
+        assert_eq!(send(&site.address, &get("00000000000000aa", "")).await.status, 200);
+    });
+}
--- /dev/null
+++ b/tests/standin/mod.rs
@@ -0,0 +1,205 @@
+//! Stand-ins of the project's own: servers that speak the line protocol, and a client's side of HTTP.
+#![allow(dead_code)]
+
+use foxhold::api::*;
+use foxhold::core::{self, Clock, Core, Listing, Message};
+use foxhold::net::serve::{self, Front, Shared};
+use foxhold::net::servers::Servers;
+use foxhold::settings::Transport;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What a stand-in server does with each request.
+#[derive(Clone, Debug)]
+pub enum Manner {
+    /// Answers so, with ID in place of the id.
+    Says(&'static str),
+    /// Takes the request and says nothing.
+    Silent,
+    /// Takes the request and closes the connection.
+    Closes,
+    /// Begins an answer and closes the connection.
+    BreaksOff,
+}
+
+/// A server that listens on loopback and notes what it was sent.
+pub struct Server {
+    pub address: String,
+    pub manner: Rc<RefCell<Manner>>,
+    pub lines: Rc<RefCell<Vec<String>>>,
+}
+
+impl Server {
+    pub async fn start(manner: Manner) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let server = Server { address, manner: Rc::new(RefCell::new(manner)), lines: Rc::default() };
+        let (manner, lines) = (server.manner.clone(), server.lines.clone());
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(Self::serve(stream, manner.clone(), lines.clone()));
+            }
+        });
+        server
+    }
+
+    async fn serve(stream: TcpStream, manner: Rc<RefCell<Manner>>, lines: Rc<RefCell<Vec<String>>>) {
+        let mut stream = BufReader::new(stream);
+        loop {
+            let mut line = String::new();
+            if !matches!(stream.read_line(&mut line).await, Ok(n) if n > 0) {
+                return;
+            }
+            let line = line.trim_end().to_owned();
+            let words: Vec<String> = line.split(' ').map(str::to_owned).collect();
+            lines.borrow_mut().push(line);
+            if words[0] != "want" {
+                continue;
+            }
+            let mut body = vec![0; words[3].parse::<usize>().expect("a length") + 2];
+            stream.read_exact(&mut body).await.expect("a body");
+            let manner = manner.borrow().clone();
+            match manner {
+                Manner::Says(answer) => {
+                    let answer = answer.replace("ID", &words[1]);
+                    stream.write_all(answer.as_bytes()).await.expect("a reader");
+                }
+                Manner::Silent => {}
+                Manner::Closes => return,
+                Manner::BreaksOff => {
+                    let begun = format!("{} ACK - 10\r\nhalf", words[1]);
+                    stream.write_all(begun.as_bytes()).await.expect("a reader");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// The requests that it was sent.
+    pub fn wants(&self) -> Vec<String> {
+        self.lines.borrow().iter().filter(|l| l.starts_with("want ")).cloned().collect()
+    }
+
+    pub fn listing(&self, name: &str, zone: &str, kind: &str) -> Listing {
+        listing(name, &self.address, zone, kind)
+    }
+}
+
+pub fn listing(name: &str, address: &str, zone: &str, kind: &str) -> Listing {
+    Listing {
+        name: name.into(),
+        address: address.into(),
+        zone: zone.into(),
+        kind: kind.into(),
+        cell: 0,
+        state: MemberState::Running,
+        size: 20.0,
+        since: 0,
+    }
+}
+
+/// A deployment with one edge zone: `videos` may be repeated, `filing` is written and must not run twice.
+pub fn settings() -> Settings {
+    let class = |name: &str, effect, write| Class {
+        name: name.into(),
+        aim: 400_000,
+        deadline: 3_000_000,
+        worth: 1.0,
+        effect,
+        write,
+        ..Class::default()
+    };
+    Settings {
+        classes: vec![class("videos", Effect::Safe, false), class("filing", Effect::Unsafe, true)],
+        kinds: vec!["cache".into(), "parent".into(), "origin".into()],
+        parent_kind: Some(1),
+        origin_kind: 2,
+        zones: vec!["hub".into(), "edge".into()],
+        zone: 1,
+        routers_by_zone: vec![0, 1],
+        routers: 1,
+        flow: 1000.0,
+        sizes_told: true,
+        cancel: true,
+        second_copies: true,
+        retry_advice: true,
+        max_advice: 1_000_000,
+        max_attempts: 6,
+        direct: true,
+        notes: Notes::All,
+        purge_done: 6_000_000,
+        ..Settings::default()
+    }
+}
+
+pub fn transport() -> Transport {
+    Transport {
+        connect_timeout: Duration::from_millis(400),
+        idle: Duration::from_secs(30),
+        streams: 100,
+        longest_deadline: Duration::from_secs(3),
+    }
+}
+
+/// A director's core, whose servers are real sockets.
+pub fn start(settings: Settings, clock: Clock, members: Vec<Listing>) -> Core {
+    let known = vec![Message::Members { full: true, members }];
+    let servers = Servers { transport: transport() };
+    core::start(settings, 7, clock, servers, known).expect("good settings").core
+}
+
+/// Serves a front on a port of its own and returns its address.
+pub async fn serve<F: Front>(core: &Core, front: F) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let (close, closing) = watch::channel(false);
+    std::mem::forget(close); // the front stays open for as long as the test runs
+    let shared = Shared { core: core.clone(), most: 100, closing, open: Rc::new(Cell::new(0)) };
+    tokio::task::spawn_local(serve::accept(listener, shared, front));
+    address
+}
+
+/// An answer as a client reads it.
+#[derive(Debug, PartialEq)]
+pub struct Response {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut pairs = self.head.lines().filter_map(|l| l.split_once(": "));
+        pairs.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+}
+
+/// Sends one request on a connection of its own and reads to the connection's end.
+pub async fn send(address: &str, request: &str) -> Response {
+    let mut stream = TcpStream::connect(address).await.expect("a listener");
+    stream.write_all(request.as_bytes()).await.expect("a reader");
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("an answer");
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n").expect("a whole head");
+    let head = String::from_utf8(bytes[..end].to_vec()).expect("text");
+    let status = head[9..12].parse().expect("a status");
+    Response { status, head, body: bytes[end + 4..].to_vec() }
+}
+
+/// Runs a test's body where the director's tasks can run.
+pub fn local<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
+
+/// The same with a clock that stands still and jumps ahead when nothing else can happen; no sockets.
+pub fn paused<T>(test: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
