--- /dev/null
+++ b/examples/sign.rs
@@ -0,0 +1,21 @@
+//! Signs a path with the key of `examples/keys.json`, for an hour:
+//! `cargo run --example sign -- /guide-videos/one.mp4`.
+
+use base64::engine::general_purpose::URL_SAFE;
+use base64::Engine;
+use hmac::{Hmac, KeyInit, Mac};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The secret of `examples/keys.json`: for trying things, and for nothing else.
+const SECRET: &[u8] = b"a toy, no secret";
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let path = std::env::args().nth(1).ok_or("usage: sign PATH")?;
+    let expires = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs() + 3600;
+    let mark = if path.contains('?') { '&' } else { '?' };
+    let url = format!("http://127.0.0.1:7101{path}{mark}Expires={expires}&KeyName=toy");
+    let mut mac = Hmac::<sha1::Sha1>::new_from_slice(SECRET)?;
+    mac.update(url.as_bytes());
+    println!("{url}&Signature={}", URL_SAFE.encode(mac.finalize().into_bytes()));
+    Ok(())
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -418,16 +418,17 @@
         }
     }
 
-    fn probed(&mut self, number: u64, result: Result<Vec<(String, f64)>, Broken>) {
+    fn probed(&mut self, number: u64, result: Result<Health, Broken>) {
         let Some((server, sent)) = self.probes.remove(&number) else { return };
         let took = self.clock.now().saturating_sub(sent);
         let outcome = match result {
-            Ok(_) => Outcome::Ok,
+            Ok(Health { well: true, .. }) => Outcome::Ok,
+            Ok(Health { well: false, .. }) => Outcome::Failed,
             Err(Broken::Written) if took >= PROBE_TIMEOUT => Outcome::TimedOut,
             Err(Broken::Written | Broken::Answering) => Outcome::Reset,
             Err(_) => Outcome::ConnectError,
         };
-        let report = report(&self.settings, &result.unwrap_or_default());
+        let report = report(&self.settings, &result.map_or_else(|_| Vec::new(), |health| health.gauges));
         self.events.push_back(Event::Probed { server, outcome, took, report });
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,6 +24,9 @@
 /// Messages that wait for the actor; who finds the mailbox full is told at the place of sending.
 const MAILBOX: usize = 4096;
 
+/// When a client that found the mailbox full should come back.
+const WHEN_FULL: Duration = Duration::from_millis(500);
+
 /// A client's request, as any front words it.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
@@ -170,6 +173,15 @@
 /// How an attempt ended at its peer.
 pub type End = Result<Reply, Broken>;
 
+/// A server's answer to a probe.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Health {
+    /// Whether it calls itself well.
+    pub well: bool,
+    /// Load report by name.
+    pub gauges: Vec<(String, f64)>,
+}
+
 /// An attempt as it is put to a peer.
 #[derive(Clone, Debug)]
 pub struct Want {
@@ -247,7 +259,7 @@
     /// The end of an attempt.
     Ended(Ticket, End),
     /// The end of a probe, with its load report.
-    Probed(u64, Result<Vec<(String, f64)>, Broken>),
+    Probed(u64, Result<Health, Broken>),
     /// News of the list.
     Members {
         /// Whether this is the whole list.
@@ -343,7 +355,7 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
         let Some(answer) = self.answer.as_mut() else {
-            return Poll::Ready(Answer::Refused { wait: None, cause: Cause::Busy });
+            return Poll::Ready(Answer::Refused { wait: Some(WHEN_FULL), cause: Cause::Busy });
         };
         let answer = std::task::ready!(Pin::new(answer).poll(cx));
         self.answer = None;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -17,6 +17,8 @@
 );
 
 impl Front for Platform {
+    const NAME: &'static str = "clients";
+
     fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response> {
         if head.target == "/alive" {
             return Err(Response::empty(if head.method == "GET" { 200 } else { 405 }));
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -9,8 +9,9 @@
 
 /// The longest line that is read.
 const LONGEST_LINE: usize = 4096;
-/// The largest body that is read; objects have 240,000 bytes at most.
-const LARGEST_BODY: usize = 1 << 20;
+/// The largest body that is read; objects have 240,000 bytes at most. As many as there may be clients, at
+/// this size, fit the memory limit.
+const LARGEST_BODY: usize = 256 * 1024;
 
 /// Appends the line of a request; its body follows.
 pub fn write_want(want: &Want, now: Instant, out: &mut BytesMut) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
@@ -48,8 +48,8 @@
     let known = known.into_iter().filter_map(|notice| notice.message(purges_only));
     let (text, list) = listed.unzip();
     let known = list.into_iter().chain(known).collect();
-    let running =
-        core::start(settings, seed, clock, Servers { transport }, known).map_err(|e| e.to_string())?;
+    let running = core::start(settings, seed, clock, Servers::new(transport, sockets * 2 / 5), known)
+        .map_err(|e| e.to_string())?;
     let core = running.core;
     if let (Some(path), Some(text)) = (xds, text) {
         tokio::task::spawn_local(xds_file::follow(path, text, core.reports()));
@@ -61,8 +61,11 @@
     let open = Rc::new(Cell::new(0));
     // Clients hold a third of the descriptors at most; a few more places let a new one in before an old one
     // is seen to have gone.
-    let most = sockets * 2 / 5;
-    let share = || Shared { core: core.clone(), most, closing: closing.clone(), open: open.clone() };
+    let places = Arc::new(Semaphore::new(sockets * 2 / 5));
+    let share = || {
+        let (core, closing) = (core.clone(), closing.clone());
+        Shared { core, places: places.clone(), closing, open: open.clone() }
+    };
     let mut accepting = vec![serve::listen(&listen, share(), Platform(core.clone())).await?];
     if let Some(FrontFile { listen, metrics, keys, .. }) = second {
         let counts = Arc::new(Counts::default());
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -24,6 +24,8 @@
 
 /// What a front makes of a request.
 pub trait Front: 'static {
+    /// How the log names it.
+    const NAME: &'static str;
     /// The answer, or what to ask the core.
     fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response>;
     /// The largest body of a request.
@@ -38,8 +40,9 @@
 pub struct Shared {
     /// Where requests go.
     pub core: Core,
-    /// Connections of a front at a time; beyond that clients wait to be accepted.
-    pub most: usize,
+    /// One for each client connection that may be open at a time, of all fronts together; beyond that
+    /// clients wait to be accepted.
+    pub places: Arc<Semaphore>,
     /// Told when the program is to end.
     pub closing: watch::Receiver<bool>,
     /// Requests that are taken and not answered.
@@ -49,12 +52,14 @@
 /// Listens at an address, and serves connections for as long as the task lives.
 pub async fn listen<F: Front>(address: &str, shared: Shared, front: F) -> Result<JoinHandle<()>, String> {
     let listener = TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))?;
+    let address = listener.local_addr().map_err(|e| format!("listen on {address}: {e}"))?;
+    eprintln!("foxhold: {} on {address}", F::NAME);
     Ok(tokio::task::spawn_local(accept(listener, shared, front)))
 }
 
 /// Accepts connections from a listener.
 pub async fn accept<F: Front>(listener: TcpListener, shared: Shared, front: F) {
-    let (places, shared) = (Arc::new(Semaphore::new(shared.most)), Rc::new((shared, front)));
+    let (places, shared) = (shared.places.clone(), Rc::new((shared, front)));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -6,7 +6,7 @@
 
 use super::lines::{self, Content, Reader};
 use crate::api::ServerId;
-use crate::core::{Broken, Listing, Message, Order, Peers, Reports, Ticket, Want};
+use crate::core::{Broken, Health, Listing, Message, Order, Peers, Reports, Ticket, Want};
 use crate::settings::Transport;
 use bytes::{Buf, BytesMut};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -14,7 +14,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Orders that wait for an actor, or for a connection; the core ends attempts that find no place as not sent.
@@ -32,8 +33,16 @@
 /// Opens an actor for each server.
 #[derive(Clone, Debug)]
 pub struct Servers {
-    /// What the settings say of connections.
-    pub transport: Transport,
+    transport: Transport,
+    /// One for each connection that may be open at a time, to all servers together.
+    places: Arc<Semaphore>,
+}
+
+impl Servers {
+    /// Keeps to what the settings say of connections, and to this many descriptors.
+    pub fn new(transport: Transport, descriptors: usize) -> Self {
+        Servers { transport, places: Arc::new(Semaphore::new(descriptors)) }
+    }
 }
 
 impl Peers for Servers {
@@ -43,6 +52,7 @@
         let actor = Actor {
             address: listing.address.clone(),
             transport: self.transport.clone(),
+            places: self.places.clone(),
             reports,
             to_actor,
             connections: Vec::new(),
@@ -73,6 +83,7 @@
 struct Actor {
     address: Arc<str>,
     transport: Transport,
+    places: Arc<Semaphore>,
     reports: Reports,
     to_actor: mpsc::Sender<News>,
     connections: Vec<Connection>,
@@ -160,15 +171,18 @@
         self.connections.get_mut(place)
     }
 
-    /// Begins a new connection; none beyond the most.
+    /// Begins a new connection; none beyond the most, and none without a descriptor for it: then the attempt
+    /// ends unsent and the module looks elsewhere.
     fn connect(&mut self) -> Option<usize> {
         if self.connections.len() >= MOST_CONNECTIONS {
             return None;
         }
+        let place = self.places.clone().try_acquire_owned().ok()?;
         let (mailbox, orders) = mpsc::channel(MAILBOX);
         let number = self.next;
         self.next += 1;
         let task = Task {
+            _place: place,
             number,
             transport: self.transport.clone(),
             reports: self.reports.clone(),
@@ -200,6 +214,7 @@
 
 /// One connection.
 struct Task {
+    _place: OwnedSemaphorePermit,
     number: u64,
     transport: Transport,
     reports: Reports,
@@ -372,8 +387,7 @@
         match message.content {
             Content::Probe(well, gauges) => {
                 let number = self.probes.remove(&message.id).ok_or(lines::BadLine("no such probe"))?;
-                let result = if well { Ok(gauges) } else { Err(Broken::Answering) };
-                self.reports.send(Message::Probed(number, result)).await;
+                self.reports.send(Message::Probed(number, Ok(Health { well, gauges }))).await;
             }
             Content::Reply(reply) => match self.ids.remove(&message.id) {
                 Some(ticket) => {
@@ -424,6 +438,15 @@
             self.reports.send(Message::Probed(number, Err(Broken::Written))).await;
         }
         let unsent = std::mem::take(&mut self.queue).into();
-        let _ = self.actor.send(News::Closed(self.number, unsent)).await;
+        if let Err(SendError(News::Closed(_, unsent))) =
+            self.actor.send(News::Closed(self.number, unsent)).await
+        {
+            // The actor has ended, so nobody will place these anew.
+            for order in unsent {
+                if let Order::Want(want) = order {
+                    self.report(want.ticket, Err(Broken::Unwritten)).await;
+                }
+            }
+        }
     }
 }
--- a/src/net/signed.rs
+++ b/src/net/signed.rs
@@ -86,6 +86,8 @@
 }
 
 impl Front for Signed {
+    const NAME: &'static str = "signed links";
+
     fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response> {
         if head.target == "/alive" {
             return Err(Response::empty(200));
@@ -111,6 +113,8 @@
 );
 
 impl Front for Metrics {
+    const NAME: &'static str = "metrics";
+
     fn read(&self, head: &Head, _: Bytes) -> Result<Ask, Response> {
         if head.target != "/metrics" {
             return Err(Response::empty(404));
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,288 @@
+//! The module's actor with a clock that stands still and peers that only note what they are told.
+
+mod standin;
+
+use foxhold::api::*;
+use foxhold::core::{self, *};
+use standin::{listing, paused, settings};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Instant};
+
+const NOW: Micros = 1_764_576_000_000_000;
+
+/// What each server was told, by its name.
+#[derive(Clone, Default)]
+struct Told(Rc<RefCell<Vec<(String, Order)>>>);
+
+impl Peers for Told {
+    fn open(&mut self, _: ServerId, listing: &Listing, _: Reports) -> mpsc::Sender<Order> {
+        let (mailbox, mut orders) = mpsc::channel(16);
+        let (told, name) = (self.0.clone(), listing.name.to_string());
+        tokio::task::spawn_local(async move {
+            while let Some(order) = orders.recv().await {
+                told.borrow_mut().push((name.clone(), order));
+            }
+        });
+        mailbox
+    }
+}
+
+impl Told {
+    fn wants(&self) -> Vec<(String, Want)> {
+        let want = |(name, order): &(String, Order)| match order {
+            Order::Want(want) => Some((name.clone(), want.clone())),
+            _ => None,
+        };
+        self.0.borrow().iter().filter_map(want).collect()
+    }
+
+    fn forgotten(&self) -> usize {
+        self.0.borrow().iter().filter(|(_, order)| matches!(order, Order::Forget(_))).count()
+    }
+}
+
+struct Site {
+    core: Core,
+    told: Told,
+    clock: Clock,
+}
+
+fn site() -> Site {
+    let members = vec![
+        listing("cache-1", "a", "edge", "cache"),
+        listing("cache-2", "b", "edge", "cache"),
+        listing("parent-1", "c", "hub", "parent"),
+        listing("origin-1", "d", "hub", "origin"),
+    ];
+    let (told, clock) = (Told::default(), Clock::starting_at(NOW));
+    let known = vec![Message::Members { full: true, members }];
+    let core = core::start(settings(), 7, clock, told.clone(), known).expect("good settings").core;
+    Site { core, told, clock }
+}
+
+fn ask(class: usize) -> Ask {
+    let (id, object) = ("00000000000000aa".into(), "7f3a9c21e0b4d655".into());
+    Ask { id, class, object, size_kb: 50.0, allow: Duration::from_secs(2), ..Ask::default() }
+}
+
+fn copy() -> End {
+    let verdict = Verdict::Copy(Copy { tag: None, body: "bytes".into() });
+    Ok(Reply { verdict, note: Note::Hit, waited: 0, gauges: Vec::new() })
+}
+
+/// Lets all other tasks run until they wait.
+async fn settle() {
+    sleep(Duration::from_millis(1)).await;
+}
+
+async fn end(site: &Site, ticket: Ticket, end: End) {
+    site.core.reports().send(Message::Ended(ticket, end)).await;
+    settle().await;
+}
+
+#[test]
+fn the_first_end_of_an_attempt_counts_and_later_ones_find_it_gone() {
+    paused(async {
+        let site = site();
+        let pending = site.core.ask(ask(1));
+        settle().await;
+        let wants = site.told.wants();
+        assert_eq!((wants.len(), &wants[0].0[..]), (1, "origin-1"));
+        end(&site, wants[0].1.ticket, Err(Broken::Written)).await;
+        end(&site, wants[0].1.ticket, copy()).await;
+        assert_eq!(pending.await, Answer::Failed(Cause::Upstream), "a write that may have run");
+        assert_eq!(site.told.wants().len(), 1, "and never goes again");
+    });
+}
+
+#[test]
+fn how_far_an_attempt_came_decides_whether_a_write_may_go_again() {
+    let goes_again = |broken: Broken| {
+        paused(async move {
+            let site = site();
+            let pending = site.core.ask(ask(1));
+            settle().await;
+            end(&site, site.told.wants()[0].1.ticket, Err(broken)).await;
+            let sent = site.told.wants().len();
+            drop(pending);
+            sent > 1
+        })
+    };
+    assert!(goes_again(Broken::NotConnected), "by another way");
+    assert!(goes_again(Broken::Unwritten) && goes_again(Broken::PartlyWritten));
+    assert!(!goes_again(Broken::Written) && !goes_again(Broken::Answering));
+}
+
+#[test]
+fn a_peer_that_says_nothing_still_leaves_one_answer_before_the_client_gives_up() {
+    for class in [0, 1] {
+        paused(async {
+            let (site, begun) = (site(), Instant::now());
+            let answer = site.core.ask(ask(class)).await;
+            assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+            match answer {
+                Answer::Refused { cause: Cause::Deadline, .. } => assert_eq!(class, 0),
+                Answer::Failed(Cause::Deadline) => assert_eq!(class, 1),
+                other => panic!("{other:?}"),
+            }
+            settle().await;
+            assert_eq!(site.told.forgotten(), site.told.wants().len(), "all that was out is called off");
+        });
+    }
+}
+
+#[test]
+fn what_the_module_gave_up_on_is_answered_at_once_with_advice() {
+    paused(async {
+        let site = site();
+        let members = [("cache-1", "a"), ("cache-2", "b"), ("parent-1", "c"), ("origin-1", "d")];
+        let gone =
+            |(name, address)| Listing { state: MemberState::Gone, ..listing(name, address, "edge", "cache") };
+        let members = members.into_iter().map(gone).collect();
+        site.core.reports().send(Message::Members { full: true, members }).await;
+        let begun = Instant::now();
+        let answer = site.core.ask(ask(0)).await;
+        assert!(matches!(answer, Answer::Refused { wait: Some(_), cause: Cause::Busy }), "{answer:?}");
+        assert!(begun.elapsed() < Duration::from_millis(5), "{:?}", begun.elapsed());
+    });
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempts_called_off() {
+    paused(async {
+        let site = site();
+        let pending = site.core.ask(ask(0));
+        settle().await;
+        drop(pending);
+        settle().await;
+        assert_eq!((site.told.wants().len(), site.told.forgotten()), (1, 1));
+    });
+}
+
+#[test]
+fn nothing_new_goes_to_a_member_that_drains_nor_names_it_as_a_source() {
+    paused(async {
+        let site = site();
+        for (name, kind, zone) in [("cache-1", "cache", "edge"), ("parent-1", "parent", "hub")] {
+            let address = if kind == "cache" { "a" } else { "c" };
+            let member = Listing { state: MemberState::Draining, ..listing(name, address, zone, kind) };
+            site.core.reports().send(Message::Members { full: false, members: vec![member] }).await;
+        }
+        let asks: Vec<Pending> =
+            (0..50).map(|n| site.core.ask(Ask { object: format!("{n:016x}").into(), ..ask(0) })).collect();
+        settle().await;
+        let wants = site.told.wants();
+        assert!(wants.len() >= 10, "{}", wants.len());
+        for (name, want) in &wants {
+            assert!(name == "cache-2" || name == "origin-1", "{name}");
+            assert!(want.via.as_deref().is_none_or(|via| via == "origin-1"), "{:?}", want.via);
+        }
+        drop(asks);
+    });
+}
+
+#[test]
+fn a_new_process_ends_what_its_predecessor_was_sent() {
+    paused(async {
+        let site = site();
+        let pending = site.core.ask(ask(1));
+        settle().await;
+        sleep(Duration::from_millis(100)).await;
+        let member = Listing { since: site.clock.unix(), ..listing("origin-1", "d", "hub", "origin") };
+        site.core.reports().send(Message::Members { full: false, members: vec![member] }).await;
+        assert_eq!(pending.await, Answer::Failed(Cause::Upstream));
+    });
+}
+
+#[test]
+fn a_purge_limits_the_age_of_copies_also_where_the_group_is_not_told() {
+    paused(async {
+        let site = site();
+        let purge = Message::Purged { object: None, group: 9, at: site.clock.unix() - 250_000 };
+        site.core.reports().send(purge).await;
+        for (group, purged) in [(Some(9), true), (Some(8), false), (None, true)] {
+            let pending = site.core.ask(Ask { group, ..ask(0) });
+            settle().await;
+            let want = site.told.wants().pop().expect("an attempt").1;
+            assert_eq!(want.max_age_ms > 0, purged, "{group:?}");
+            assert!(want.max_age_ms <= 260, "{group:?}: {}", want.max_age_ms);
+            end(&site, want.ticket, copy()).await;
+            assert!(matches!(pending.await, Answer::Served(_)));
+        }
+    });
+}
+
+#[test]
+fn a_credential_that_expires_while_its_request_waits_ends_it_at_that_moment() {
+    for (class, expected) in [
+        (0, Answer::Refused { wait: None, cause: Cause::Expired }),
+        (1, Answer::Failed(Cause::Expired)), // a write that may have run
+    ] {
+        paused(async {
+            let (site, begun) = (site(), Instant::now());
+            let valid_until = Some(site.clock.unix() + 300_000);
+            assert_eq!(site.core.ask(Ask { valid_until, ..ask(class) }).await, expected);
+            assert_eq!(begun.elapsed().as_millis(), 300);
+            settle().await;
+            assert_eq!((site.told.wants().len(), site.told.forgotten()), (1, 1));
+        });
+    }
+}
+
+#[test]
+fn a_credential_is_good_to_its_last_microsecond_and_not_a_moment_longer() {
+    for (left, sent) in [(1_000, 1), (0, 0)] {
+        paused(async {
+            let site = site();
+            let valid_until = Some(site.clock.unix() + left);
+            let pending = site.core.ask(Ask { valid_until, ..ask(1) });
+            tokio::task::yield_now().await;
+            tokio::task::yield_now().await;
+            assert_eq!(site.told.wants().len(), sent);
+            let answer = pending.await;
+            // Unsent, it is harmless to try again with a new credential, a write as well.
+            assert_eq!(
+                matches!(answer, Answer::Refused { cause: Cause::Expired, .. }),
+                sent == 0,
+                "{answer:?}"
+            );
+        });
+    }
+}
+
+#[test]
+fn an_answer_that_began_in_time_runs_on_and_one_that_came_late_does_not_begin() {
+    paused(async {
+        let site = site();
+        let valid_until = Some(site.clock.unix() + 300_000);
+        let pending = site.core.ask(Ask { valid_until, ..ask(0) });
+        settle().await;
+        end(&site, site.told.wants()[0].1.ticket, copy()).await;
+        sleep(Duration::from_secs(1)).await; // the front takes it after the end of its validity
+        assert!(matches!(pending.await, Answer::Served(_)));
+    });
+}
+
+#[test]
+fn a_further_attempt_is_not_sent_once_the_credential_has_expired() {
+    paused(async {
+        let site = site();
+        let valid_until = Some(site.clock.unix() + 300_000);
+        let pending = site.core.ask(Ask { valid_until, ..ask(0) });
+        settle().await;
+        let ticket = site.told.wants()[0].1.ticket;
+        assert_eq!(pending.await, Answer::Refused { wait: None, cause: Cause::Expired });
+        end(&site, ticket, Err(Broken::NotConnected)).await;
+        assert_eq!(site.told.wants().len(), 1);
+    });
+}
+
+#[test]
+fn servers_have_numbers_by_their_names_alone() {
+    assert_eq!(object_number("7f3a9c21e0b4d655"), 0x7f3a_9c21_e0b4_d655);
+    assert_eq!(object_number("guide/one.mp4"), object_number("guide/one.mp4"));
+    assert_ne!(object_number("guide/one.mp4"), object_number("guide/two.mp4"));
+}
--- /dev/null
+++ b/tests/front.rs
@@ -0,0 +1,226 @@
+//! The second front on loopback, from a client's link to stand-in servers and back, each outcome counted.
+
+mod standin;
+
+use base64::{engine::general_purpose::URL_SAFE, Engine};
+use foxhold::api::Micros;
+use foxhold::core::Clock;
+use foxhold::net::signed::{FrontFile, Metrics, Signed};
+use foxhold::signed::{Counts, Keys};
+use hmac::{Hmac, KeyInit, Mac};
+use standin::*;
+use std::sync::Arc;
+
+const SECRET: &[u8] = b"0123456789abcdef";
+const NOW: u64 = 1_764_576_000;
+
+struct Site {
+    cache: Server,
+    parent: Server,
+    origin: Server,
+    address: String,
+    counts: Arc<Counts>,
+}
+
+/// A director whose clock is `off` microseconds from the issuer's, and servers that all behave alike.
+async fn site(manner: Manner, off: i64) -> Site {
+    let (cache, parent) = (Server::start(manner.clone()).await, Server::start(manner.clone()).await);
+    let origin = Server::start(manner).await;
+    let members = vec![
+        cache.listing("s-cache", "edge", "cache"),
+        parent.listing("s-parent", "hub", "parent"),
+        origin.listing("s-origin", "hub", "origin"),
+    ];
+    let clock = Clock::starting_at((NOW * 1_000_000).saturating_add_signed(off));
+    let core = start(settings(), clock, members);
+    let secret = URL_SAFE.encode(SECRET);
+    let file = format!(
+        r#"{{"scheme":"http","keys":[{{"name":"u1","alg":"HMAC-SHA1","key":"{secret}"}},
+        {{"name":"t1","alg":"HS256","key":"{secret}"}}]}}"#
+    );
+    let keys = Keys::new(miniserde::json::from_str(&file).expect("JSON")).expect("good keys");
+    let counts = Arc::new(Counts::default());
+    let front = Signed { core: core.clone(), keys, clock, counts: counts.clone() };
+    let address = serve(&core, front).await;
+    Site { cache, parent, origin, address, counts }
+}
+
+impl Site {
+    fn sent(&self) -> usize {
+        [&self.cache, &self.parent, &self.origin].iter().map(|s| s.wants().len()).sum()
+    }
+
+    async fn get(&self, target: &str) -> Response {
+        self.send("GET", target, "").await
+    }
+
+    async fn send(&self, method: &str, target: &str, body: &str) -> Response {
+        let length = body.len();
+        let request = format!(
+            "{method} {target} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\
+             Content-Length: {length}\r\n\r\n{body}",
+            self.address
+        );
+        send(&self.address, &request).await
+    }
+
+    /// A link as its issuer makes it.
+    fn link(&self, path: &str, expires: u64) -> String {
+        let target = format!("{path}?Expires={expires}&KeyName=u1");
+        let mut mac = Hmac::<sha1::Sha1>::new_from_slice(SECRET).expect("a key");
+        mac.update(format!("http://{}{target}", self.address).as_bytes());
+        format!("{target}&Signature={}", URL_SAFE.encode(mac.finalize().into_bytes()))
+    }
+
+    fn token(&self, path: &str, claims: &str) -> String {
+        let encode = |text: &str| URL_SAFE.encode(text).trim_end_matches('=').to_owned();
+        let body = format!("{}.{}", encode(r#"{"alg":"HS256"}"#), encode(claims));
+        let mut mac = Hmac::<sha2::Sha256>::new_from_slice(SECRET).expect("a key");
+        mac.update(body.as_bytes());
+        let signature = URL_SAFE.encode(mac.finalize().into_bytes());
+        format!("{path}?URISigningPackage={body}.{}", signature.trim_end_matches('='))
+    }
+
+    /// That just this outcome was counted, and so often.
+    fn counted(&self, outcome: &str, times: u64) {
+        assert_eq!(self.counts.get(outcome), times, "{outcome}: {}", self.counts.exposition());
+        let all: u64 =
+            self.counts.exposition().lines().filter_map(|l| l.rsplit_once(' ')?.1.parse::<u64>().ok()).sum();
+        assert_eq!(all, times, "{}", self.counts.exposition());
+    }
+}
+
+const COPY: Manner = Manner::Says("ID ACK tag=aa,minted=1,res=cached 5\r\nbytes\r\n");
+const SECOND: i64 = 1_000_000;
+
+#[test]
+fn a_valid_link_is_served_and_its_credential_goes_no_further() {
+    local(async {
+        let site = site(COPY, 0).await;
+        let answer = site.get(&site.link("/videos/guide/one.mp4", NOW + 60)).await;
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"bytes"[..]));
+        assert_eq!(answer.header("etag"), Some("\"aa\""));
+        let wants = site.cache.wants();
+        assert!(wants[0].contains("kind=videos,obj=guide/one.mp4,ms="), "{wants:?}");
+        assert!(!wants[0].contains("Signature"), "{wants:?}");
+        site.counted("served", 1);
+        assert_eq!(site.get(&site.token("/videos/a", r#"{"cdniuc":"regex:.*/videos/a"}"#)).await.status, 200);
+        site.counted("served", 2);
+    });
+}
+
+#[test]
+fn forged_expired_early_and_unreadable_links_are_403_and_counted_apart() {
+    local(async {
+        let far = format!(r#"{{"cdniuc":"regex:.*","nbf":{}}}"#, NOW + 600);
+        type Target<'a> = &'a dyn Fn(&Site) -> String;
+        let cases: [(&str, Target); 5] = [
+            ("forged", &|s| s.link("/videos/a", NOW + 60).replace("videos/a", "videos/b")),
+            ("expired", &|s| s.link("/videos/a", NOW - 60)),
+            ("not_yet_valid", &|s| s.token("/videos/a", &far)),
+            ("malformed", &|s| s.link("/videos/a", NOW + 60) + "&Expires=9"),
+            ("malformed", &|_| "/videos/a".into()),
+        ];
+        for (outcome, target) in cases {
+            let site = site(COPY, 0).await;
+            assert_eq!(site.get(&target(&site)).await.status, 403, "{outcome}");
+            site.counted(outcome, 1);
+            assert_eq!(site.sent(), 0, "{outcome}");
+        }
+    });
+}
+
+#[test]
+fn a_clock_that_is_off_by_less_than_the_skew_does_no_harm_either_way() {
+    // The link ends at NOW, the token begins at NOW; the director's clock is ahead or behind.
+    for (off, link, token) in
+        [(4 * SECOND, 200, 200), (5 * SECOND, 403, 200), (-4 * SECOND, 200, 200), (-6 * SECOND, 200, 403)]
+    {
+        local(async {
+            let site = site(COPY, off).await;
+            assert_eq!(site.get(&site.link("/videos/a", NOW)).await.status, link, "{off}");
+            let claims = format!(r#"{{"cdniuc":"regex:.*","nbf":{NOW}}}"#);
+            assert_eq!(site.get(&site.token("/videos/a", &claims)).await.status, token, "{off}");
+            assert_eq!(site.counts.get("served"), u64::from(link == 200) + u64::from(token == 200));
+            assert_eq!(site.counts.get("expired"), u64::from(link == 403));
+            assert_eq!(site.counts.get("not_yet_valid"), u64::from(token == 403));
+        });
+    }
+}
+
+#[test]
+fn a_link_that_expires_while_its_request_waits_is_answered_once_and_called_off() {
+    local(async {
+        // 300 ms are left of its five seconds of skew.
+        let site = site(Manner::Silent, 4_700_000).await;
+        assert_eq!(site.get(&site.link("/videos/a", NOW)).await.status, 403);
+        site.counted("expired", 1);
+        assert_eq!(site.sent(), 1);
+        while !site.cache.lines.borrow().iter().any(|l| l.starts_with("never_mind ")) {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
+#[test]
+fn a_write_whose_link_expires_after_its_send_is_not_called_harmless() {
+    local(async {
+        let site = site(Manner::Silent, 4_700_000).await;
+        let answer = site.send("PUT", &site.link("/filing/a", NOW), "a filing").await;
+        assert_eq!((answer.status, answer.header("retry-after")), (504, None));
+        site.counted("expired_unknown", 1);
+        assert_eq!(site.sent(), 1);
+    });
+}
+
+#[test]
+fn slow_broken_and_refusing_servers_each_have_their_status() {
+    for (manner, method, path, status, outcome, retry) in [
+        (Manner::Silent, "GET", "/videos/a", 504, "deadline", false),
+        (Manner::Closes, "PUT", "/filing/a", 502, "upstream", false),
+        (Manner::BreaksOff, "GET", "/videos/a", 502, "upstream", true),
+        (Manner::Says("ID EIO - 0\r\n\r\n"), "PUT", "/filing/a", 502, "upstream", false),
+        (Manner::Says("ID AGAIN - 0\r\n\r\n"), "GET", "/videos/a", 503, "refused", true),
+    ] {
+        local(async {
+            let site = site(manner.clone(), 0).await;
+            let answer = site.send(method, &site.link(path, NOW + 60), "").await;
+            assert_eq!(answer.status, status, "{manner:?}");
+            assert_eq!(answer.header("retry-after").is_some(), retry, "{manner:?}: {answer:?}");
+            site.counted(outcome, 1);
+        });
+    }
+}
+
+#[test]
+fn a_good_link_to_nothing_that_is_here_is_a_bad_request() {
+    local(async {
+        let site = site(COPY, 0).await;
+        for (path, status) in
+            [("/nothing/a", 404), ("/videos/", 400), ("/videos/../filing/a", 400), ("/filing/a", 405)]
+        {
+            assert_eq!(site.get(&site.link(path, NOW + 60)).await.status, status, "{path}");
+        }
+        site.counted("bad_request", 4);
+        assert_eq!(site.sent(), 0);
+    });
+}
+
+#[test]
+fn the_counts_can_be_read() {
+    local(async {
+        let counts = Arc::new(Counts::default());
+        counts.add("forged");
+        let core = start(settings(), Clock::starting_at(1 as Micros), Vec::new());
+        let address = serve(&core, Metrics(counts)).await;
+        let answer = send(&address, "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").await;
+        let text = String::from_utf8(answer.body).expect("text");
+        assert!(text.contains("foxhold_signed_responses_total{outcome=\"forged\"} 1\n"), "{text}");
+    });
+}
+
+#[test]
+fn the_file_under_deploy_leaves_the_front_off() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/front.json");
+    assert!(FrontFile::read(&path).expect("a good file").is_none());
+}
--- /dev/null
+++ b/tests/signed.rs
@@ -0,0 +1,238 @@
+//! The checks of signed URLs and tokens, with links issued here as their public descriptions say.
+
+use base64::engine::general_purpose::{URL_SAFE, URL_SAFE_NO_PAD};
+use base64::Engine;
+use foxhold::signed::{check, Denied, Grant, KeyFile, Keys};
+use hmac::{Hmac, KeyInit, Mac};
+use p256::ecdsa::{signature::Signer, Signature, SigningKey};
+use sha2::{Digest, Sha256};
+
+const SECRET: &[u8] = b"0123456789abcdef";
+const HOST: &str = "videos.example";
+const NOW: u64 = 1_764_576_000;
+
+fn signing_key() -> SigningKey {
+    SigningKey::from_slice(&[7; 32]).expect("a key")
+}
+
+fn keys_with(skew: f64) -> Keys {
+    let (secret, rotated) = (URL_SAFE.encode(SECRET), URL_SAFE.encode(b"another-16-bytes"));
+    let point = URL_SAFE_NO_PAD.encode(signing_key().verifying_key().to_sec1_point(false).as_bytes());
+    let file = format!(
+        r#"{{"skew_s":{skew},"audience":["cdn-a"],"keys":[
+            {{"name":"u1","alg":"HMAC-SHA1","key":"{secret}"}},
+            {{"name":"u2","alg":"HMAC-SHA256","key":"{rotated}"}},
+            {{"name":"t1","alg":"HS256","key":"{secret}"}},
+            {{"name":"t2","alg":"ES256","key":"{point}","issuer":"books"}}]}}"#
+    );
+    Keys::new(miniserde::json::from_str::<KeyFile>(&file).expect("JSON")).expect("good keys")
+}
+
+fn check_at(target: &str, seconds: f64) -> Result<Grant, Denied> {
+    check(&keys_with(5.0), HOST, target, (seconds * 1e6) as u64)
+}
+
+fn check_now(target: &str) -> Result<Grant, Denied> {
+    check_at(target, NOW as f64)
+}
+
+fn sha1_url(path: &str, expires: u64, name: &str) -> String {
+    let mark = if path.contains('?') { '&' } else { '?' };
+    let target = format!("{path}{mark}Expires={expires}&KeyName={name}");
+    let mut mac = Hmac::<sha1::Sha1>::new_from_slice(SECRET).expect("a key");
+    mac.update(format!("https://{HOST}{target}").as_bytes());
+    format!("{target}&Signature={}", URL_SAFE.encode(mac.finalize().into_bytes()))
+}
+
+fn hs256(header: &str, claims: &str) -> String {
+    let body = format!("{}.{}", URL_SAFE_NO_PAD.encode(header), URL_SAFE_NO_PAD.encode(claims));
+    let mut mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a key");
+    mac.update(body.as_bytes());
+    format!("{body}.{}", URL_SAFE_NO_PAD.encode(mac.finalize().into_bytes()))
+}
+
+/// A target with a token that holds these claims beside a container for any video.
+fn tokened(claims: &str) -> String {
+    let container = r#""cdniuc":"regex:https://videos\\.example/videos/[a-z0-9.]+(\\?block=[0-9]+)?""#;
+    let token = hs256(r#"{"alg":"HS256","kid":"t1"}"#, &format!("{{{container}{claims}}}"));
+    format!("/videos/guide.mp4?URISigningPackage={token}")
+}
+
+#[test]
+fn a_signed_url_is_good_and_its_credential_is_stripped() {
+    let grant = check_now(&sha1_url("/videos/guide.mp4?block=3", NOW + 60, "u1")).expect("good");
+    assert_eq!(grant.target, "/videos/guide.mp4?block=3");
+    assert_eq!(grant.valid_until, Some((NOW + 65) * 1_000_000));
+    assert_eq!(
+        check_now(&sha1_url("/videos/guide.mp4", NOW + 60, "u1")).expect("good").target,
+        "/videos/guide.mp4"
+    );
+}
+
+#[test]
+fn a_signature_may_come_with_padding_or_without() {
+    let known = "/videos/guide.mp4?Expires=1764576060&KeyName=u1&Signature=";
+    let mut mac = Hmac::<sha1::Sha1>::new_from_slice(SECRET).expect("a key");
+    mac.update(b"https://videos.example/videos/guide.mp4?Expires=1764576060&KeyName=u1");
+    let padded = URL_SAFE.encode(mac.finalize().into_bytes());
+    assert!(padded.ends_with('='));
+    assert!(check_now(&format!("{known}{padded}")).is_ok());
+    assert!(check_now(&format!("{known}{}", padded.trim_end_matches('='))).is_ok(), "without padding too");
+}
+
+#[test]
+fn any_octet_that_differs_makes_a_url_forged() {
+    let good = sha1_url("/videos/guide.mp4?block=3", NOW + 60, "u1");
+    let cases = [
+        good.replace("guide", "other"),
+        good.replace("guide", "%67uide"),
+        good.replace("block=3", "block=4"),
+        good.replace(&format!("{}", NOW + 60), &format!("{}", NOW + 6000)),
+        good.replace("KeyName=u1", "KeyName=u2"),
+        good.replace("KeyName=u1", "KeyName=gone"),
+        good.replace("KeyName=u1", "KeyName=t1"),
+    ];
+    for target in cases {
+        assert_eq!(check_now(&target), Err(Denied::Forged), "{target}");
+    }
+    assert_eq!(check(&keys_with(5.0), "other.example", &good, NOW * 1_000_000), Err(Denied::Forged));
+}
+
+#[test]
+fn what_can_t_be_read_in_one_way_only_is_malformed() {
+    let good = sha1_url("/videos/guide.mp4", NOW + 60, "u1");
+    let cases = [
+        "/videos/guide.mp4".to_owned(),
+        good.replace("?Expires", "?Expires=1&Expires"),
+        format!("{good}&KeyName=u1"),
+        format!("{good}&block=3"),
+        format!("{good}&Signature"),
+        good.replace(&format!("Expires={}", NOW + 60), "Expires=soon"),
+        good.replace("&KeyName=u1", ""),
+        good.replace("Signature=", "Signature=*"),
+        format!("{good}&URISigningPackage=a.b.c"),
+        format!("https://{HOST}{good}"),
+    ];
+    for target in cases {
+        assert_eq!(check_now(&target), Err(Denied::Malformed), "{target}");
+    }
+}
+
+#[test]
+fn skew_widens_both_ends_and_no_further() {
+    let url = sha1_url("/videos/guide.mp4", NOW, "u1");
+    assert!(check_at(&url, NOW as f64 + 4.999_999).is_ok());
+    assert_eq!(check_at(&url, NOW as f64 + 5.0), Err(Denied::Expired));
+    let token = tokened(&format!(r#","nbf":{NOW},"exp":{}"#, NOW + 10));
+    assert_eq!(check_at(&token, NOW as f64 - 5.000_001), Err(Denied::NotYetValid));
+    assert!(check_at(&token, NOW as f64 - 5.0).is_ok());
+    assert!(check_at(&token, NOW as f64 + 14.999_999).is_ok());
+    assert_eq!(check_at(&token, NOW as f64 + 15.0), Err(Denied::Expired));
+    assert_eq!(
+        check(&keys_with(0.0), HOST, &url, NOW * 1_000_000),
+        Err(Denied::Expired),
+        "no skew, no grace"
+    );
+}
+
+#[test]
+fn a_token_is_good_in_the_query_and_in_the_path_and_is_stripped() {
+    assert_eq!(
+        check_now(&tokened("")).expect("good"),
+        Grant { target: "/videos/guide.mp4".into(), valid_until: None }
+    );
+    let token = tokened("");
+    let package = token.split_once('?').expect("a query").1;
+    for (target, stripped) in [
+        (format!("/videos/guide.mp4?{package}&block=3"), "/videos/guide.mp4?block=3"),
+        (format!("/videos/guide.mp4?block=3&{package}"), "/videos/guide.mp4?block=3"),
+        (format!("/videos/guide.mp4;{package}?block=3"), "/videos/guide.mp4?block=3"),
+    ] {
+        assert_eq!(check_now(&target).expect("good").target, stripped);
+    }
+    assert_eq!(check_now(&format!("/videos/guide.mp4?{package}&{package}")), Err(Denied::Malformed));
+}
+
+#[test]
+fn a_token_must_be_for_this_uri() {
+    assert_eq!(check_now(&tokened("").replace("guide", "GUIDE")), Err(Denied::Forged));
+    let hash = URL_SAFE_NO_PAD.encode(Sha256::digest("https://videos.example/videos/a?block=1"));
+    let token = hs256(r#"{"alg":"HS256","kid":"t1"}"#, &format!(r#"{{"cdniuc":"hash:sha-256;{hash}"}}"#));
+    assert!(check_now(&format!("/videos/a?block=1&URISigningPackage={token}")).is_ok());
+    assert_eq!(check_now(&format!("/videos/a?block=2&URISigningPackage={token}")), Err(Denied::Forged));
+    // A pattern covers the whole URI, not a part of it.
+    let part = hs256(r#"{"alg":"HS256","kid":"t1"}"#, r#"{"cdniuc":"regex:videos/a"}"#);
+    assert_eq!(check_now(&format!("/videos/a?URISigningPackage={part}")), Err(Denied::Forged));
+}
+
+#[test]
+fn the_key_decides_on_the_algorithm_and_never_the_token() {
+    let claims = r#"{"cdniuc":"regex:.*"}"#;
+    let target = |token: String| format!("/videos/a?URISigningPackage={token}");
+    let bare = format!("{}.{}.", URL_SAFE_NO_PAD.encode(r#"{"alg":"none"}"#), URL_SAFE_NO_PAD.encode(claims));
+    let header = |text: &str| check_now(&target(hs256(text, claims)));
+    assert_eq!(check_now(&target(bare)), Err(Denied::Forged));
+    assert_eq!(header(r#"{"alg":"none","kid":"t1"}"#), Err(Denied::Forged));
+    assert_eq!(header(r#"{"alg":"HS512","kid":"t1"}"#), Err(Denied::Forged));
+    assert_eq!(header(r#"{"alg":"HS256","kid":"t2"}"#), Err(Denied::Forged), "a public key is no secret");
+    assert_eq!(header(r#"{"alg":"HS256","kid":"u1"}"#), Err(Denied::Forged), "for URLs only");
+    assert_eq!(header(r#"{"alg":"HS256"}"#), Err(Denied::Forged), "two keys to choose from");
+    assert_eq!(header(r#"{"alg":"HS256","kid":"t1","crit":["b64"]}"#), Err(Denied::Malformed));
+    assert!(header(r#"{"alg":"HS256","kid":"t1"}"#).is_ok());
+    let good = hs256(r#"{"alg":"HS256","kid":"t1"}"#, claims);
+    let (body, _) = good.rsplit_once('.').expect("a signature");
+    assert_eq!(check_now(&target(format!("{body}.AAAA"))), Err(Denied::Forged));
+}
+
+#[test]
+fn an_elliptic_signature_and_its_issuer_are_checked() {
+    let token = |claims: &str| {
+        let header = URL_SAFE_NO_PAD.encode(r#"{"alg":"ES256","kid":"t2"}"#);
+        let body = format!("{header}.{}", URL_SAFE_NO_PAD.encode(claims));
+        let signature: Signature = signing_key().sign(body.as_bytes());
+        format!("/videos/a?URISigningPackage={body}.{}", URL_SAFE_NO_PAD.encode(signature.to_bytes()))
+    };
+    assert!(check_now(&token(r#"{"iss":"books","cdniuc":"regex:.*"}"#)).is_ok());
+    assert_eq!(check_now(&token(r#"{"iss":"others","cdniuc":"regex:.*"}"#)), Err(Denied::Forged));
+    assert_eq!(check_now(&token(r#"{"cdniuc":"regex:.*"}"#)), Err(Denied::Forged));
+}
+
+#[test]
+fn claims_that_are_not_understood_turn_a_token_down_where_they_matter() {
+    for good in
+        [r#","x":1"#, r#","cdniv":1"#, r#","exp":9999999999,"cdnicrit":"exp,cdniuc""#, r#","aud":"cdn-a""#]
+    {
+        assert!(check_now(&tokened(good)).is_ok(), "{good}");
+    }
+    for bad in [
+        r#","x":1,"cdnicrit":"x""#,
+        r#","cdnicrit":"exp""#,
+        r#","cdnicrit":"""#,
+        r#","cdniv":2"#,
+        r#","cdniip":"a""#,
+        r#","exp":"soon""#,
+        r#","nbf":true"#,
+    ] {
+        assert_eq!(check_now(&tokened(bad)), Err(Denied::Malformed), "{bad}");
+    }
+    assert_eq!(check_now(&tokened(r#","aud":["cdn-b"]"#)), Err(Denied::Forged));
+    let bare = hs256(r#"{"alg":"HS256","kid":"t1"}"#, "{}");
+    assert_eq!(
+        check_now(&format!("/videos/a?URISigningPackage={bare}")),
+        Err(Denied::Malformed),
+        "no container"
+    );
+}
+
+#[test]
+fn keys_that_can_t_be_used_are_named_and_never_shown() {
+    let error = |file: &str| Keys::new(miniserde::json::from_str(file).expect("JSON")).expect_err("bad keys");
+    let key =
+        |alg: &str, key: &str| error(&format!(r#"{{"keys":[{{"name":"k","alg":"{alg}","key":"{key}"}}]}}"#));
+    assert_eq!(key("HS256", "c2hvcnQ"), "key 'k': shorter than 16 bytes");
+    assert_eq!(key("ES256", "c2hvcnQ"), "key 'k': not a P-256 point");
+    assert!(key("none", "MDEyMzQ1Njc4OWFiY2RlZg").contains("alg"));
+    assert_eq!(error(r#"{"skew_s":61,"keys":[]}"#), "skew_s: not from 0 to 60");
+    assert_eq!(error(r#"{"keys":[]}"#), "keys: none");
+    assert!(!format!("{:?}", keys_with(5.0)).contains(&URL_SAFE.encode(SECRET)));
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -9,10 +9,11 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, Semaphore};
 
 /// What a stand-in server does with each request.
 #[derive(Clone, Debug)]
@@ -149,7 +150,7 @@
 /// A director's core, whose servers are real sockets.
 pub fn start(settings: Settings, clock: Clock, members: Vec<Listing>) -> Core {
     let known = vec![Message::Members { full: true, members }];
-    let servers = Servers { transport: transport() };
+    let servers = Servers::new(transport(), 100);
     core::start(settings, 7, clock, servers, known).expect("good settings").core
 }
 
@@ -159,7 +160,8 @@
     let address = listener.local_addr().expect("an address").to_string();
     let (close, closing) = watch::channel(false);
     std::mem::forget(close); // the front stays open for as long as the test runs
-    let shared = Shared { core: core.clone(), most: 100, closing, open: Rc::new(Cell::new(0)) };
+    let places = Arc::new(Semaphore::new(100));
+    let shared = Shared { core: core.clone(), places, closing, open: Rc::new(Cell::new(0)) };
     tokio::task::spawn_local(serve::accept(listener, shared, front));
     address
 }
--- /dev/null
+++ b/tests/xds.rs
@@ -0,0 +1,120 @@
+//! Members in xDS form, there and back, and updates that are turned down whole.
+
+mod standin;
+
+use foxhold::api::MemberState;
+use foxhold::core::{Listing, Message, Reports};
+use foxhold::{net::xds_file, xds};
+use standin::{listing, paused};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+const SNAKE: &str = r#"{"version_info":"7","resources":[
+    {"@type":"type.googleapis.com/envoy.config.cluster.v3.Cluster","name":"cache","type":"EDS",
+     "eds_cluster_config":{"service_name":"caches","eds_config":{}},"connect_timeout":"0.4s"},
+    {"@type":"type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment","cluster_name":"caches",
+     "endpoints":[{"locality":{"region":"r","zone":"edge"},"lb_endpoints":[
+        {"endpoint":{"address":{"socket_address":{"address":"10.1.0.9","port_value":9090}}},
+         "health_status":"HEALTHY","load_balancing_weight":4,
+         "metadata":{"filter_metadata":{"foxhold":{"id":"s-1","cell":2,"up_since_ms":1764576000123}}}},
+        {"endpoint":{"hostname":"s-2","address":{"socket_address":{"address":"::1","port_value":"9091"}}},
+         "health_status":3}]}]}]}"#;
+
+#[test]
+fn both_spellings_read_the_same() {
+    let update = xds::parse(SNAKE).expect("a good response");
+    assert_eq!((update.version.as_str(), update.members.len()), ("7", 2));
+    let first = Listing {
+        cell: 2,
+        size: 4.0,
+        since: 1_764_576_000_123_000,
+        ..listing("s-1", "10.1.0.9:9090", "edge", "cache")
+    };
+    let second =
+        Listing { size: 1.0, state: MemberState::Draining, ..listing("s-2", "[::1]:9091", "edge", "cache") };
+    assert_eq!(update.members, [first, second]);
+    let pairs = [
+        ("version_info", "versionInfo"),
+        ("eds_cluster_config", "edsClusterConfig"),
+        ("service_name", "serviceName"),
+        ("cluster_name", "clusterName"),
+        ("lb_endpoints", "lbEndpoints"),
+        ("socket_address", "socketAddress"),
+        ("port_value", "portValue"),
+        ("health_status", "healthStatus"),
+        ("load_balancing_weight", "loadBalancingWeight"),
+        ("filter_metadata", "filterMetadata"),
+    ];
+    let camel = pairs.iter().fold(SNAKE.to_owned(), |text, (snake, camel)| text.replace(snake, camel));
+    assert_ne!(camel, SNAKE);
+    assert_eq!(xds::parse(&camel), Ok(update));
+}
+
+#[test]
+fn there_and_back_nothing_is_lost() {
+    let update = xds::parse(SNAKE).expect("a good response");
+    assert_eq!(xds::parse(&xds::format(&update)), Ok(update));
+}
+
+#[test]
+fn health_says_what_may_be_sent() {
+    let states = [
+        ("\"UNKNOWN\"", Some(MemberState::Running)),
+        ("\"DEGRADED\"", Some(MemberState::Running)),
+        ("1", Some(MemberState::Running)),
+        ("\"UNHEALTHY\"", Some(MemberState::Draining)),
+        ("\"TIMEOUT\"", Some(MemberState::Draining)),
+        ("\"WELL\"", None),
+        ("9", None),
+        ("true", None),
+    ];
+    for (status, state) in states {
+        let update = xds::parse(&SNAKE.replace("\"HEALTHY\"", status));
+        assert_eq!(update.ok().map(|u| u.members[0].state), state, "{status}");
+    }
+}
+
+#[test]
+fn a_fault_anywhere_turns_the_whole_update_down() {
+    let faults = [
+        ("\"port_value\":9090", "\"port_value\":0"),
+        ("\"port_value\":9090", "\"port_value\":9090,\"portValue\":9090"),
+        ("\"load_balancing_weight\":4", "\"load_balancing_weight\":0"),
+        ("\"load_balancing_weight\":4", "\"load_balancing_weight\":1.5"),
+        ("\"hostname\":\"s-2\"", "\"hostname\":\"s-1\""),
+        ("\"hostname\":\"s-2\"", "\"hostname\":\"a,b\""),
+        ("envoy.config.cluster.v3.Cluster", "envoy.config.listener.v3.Listener"),
+        ("\"name\":\"cache\",", ""),
+        ("\"lb_endpoints\":[", "\"lb_endpoints\":[{},"),
+        ("]}]}]}", "]}]}]"),
+    ];
+    for (from, to) in faults {
+        let text = SNAKE.replacen(from, to, 1);
+        assert_ne!(text, SNAKE, "{from}");
+        assert!(xds::parse(&text).is_err(), "{from} -> {to}");
+    }
+}
+
+#[test]
+fn a_watched_file_that_goes_bad_leaves_the_last_good_list() {
+    let path = std::env::temp_dir().join(format!("foxhold-xds-{}.json", std::process::id()));
+    std::fs::write(&path, SNAKE).expect("a file");
+    paused(async {
+        let (mailbox, mut inbox) = mpsc::channel(8);
+        let (text, first) = xds_file::read(&path).expect("a good file");
+        assert!(matches!(first, Message::Members { full: true, members } if members.len() == 2));
+        tokio::task::spawn_local(xds_file::follow(path.clone(), text, Reports::new(mailbox)));
+        std::fs::write(&path, SNAKE.replace("9090", "0")).expect("a file");
+        assert!(
+            timeout(Duration::from_secs(5), inbox.recv()).await.is_err(),
+            "a bad update, and one unchanged"
+        );
+        std::fs::write(&path, SNAKE.replace("\"HEALTHY\"", "\"DRAINING\"")).expect("a file");
+        let Some(Message::Members { members, .. }) = inbox.recv().await else { panic!("no list") };
+        assert_eq!(members[0].state, MemberState::Draining);
+        sleep(Duration::from_secs(2)).await;
+        assert!(inbox.try_recv().is_err(), "told once");
+    });
+    std::fs::remove_file(&path).expect("the file");
+}
