Take a begun request when closing, revive ended peer actors, longer token keys

Found by reading the code, each with a test where one can show it: a request whose first bytes had come when the front was told to close was dropped (src/net/serve.rs, the select round next_request); a request that trickles in now has ten seconds in all and not for each read; a peer's actor that ended by a panic left its server unreachable until the list changed (src/core/actor.rs); HS256 keys under 32 bytes are turned down as RFC 7518 asks; 405 of the signed front names the method.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -42,15 +42,18 @@
 
 /// A listed server.
 struct Server {
-    name: Arc<str>,
-    address: Arc<str>,
-    /// Its start as told, and by the steady clock.
+    listing: Listing,
+    /// Its start by the steady clock.
     since: Micros,
-    steady_since: Micros,
-    gone: bool,
     mailbox: mpsc::Sender<Order>,
 }
 
+impl Server {
+    fn gone(&self) -> bool {
+        self.listing.state == MemberState::Gone
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Alarm {
     Router(Token),
@@ -312,7 +315,7 @@
             part: live.ask.part,
             until: self.clock.instant(until),
             send_by: self.clock.instant(until).min(Instant::now() + SEND_WITHIN),
-            via: source.and_then(|s| self.servers.get(&s)).map(|s| s.name.clone()),
+            via: source.and_then(|s| self.servers.get(&s)).map(|s| s.listing.name.clone()),
             keep: fill.map_or(0, |f| f.keep),
             // 0 has a meaning of its own, and rounding up would let an older copy pass.
             max_age_ms: fill.map_or(0, |f| if f.max_age > 0 { (f.max_age / 1000).max(1) } else { 0 }),
@@ -322,6 +325,7 @@
             known: live.ask.known.clone(),
             body: live.ask.body.clone(),
         };
+        self.revive(server);
         // Full: the peer has far more than it can carry, so the attempt ends unsent.
         let taken = self.servers.get(&server).is_some_and(|s| s.mailbox.try_send(Order::Want(want)).is_ok());
         if taken {
@@ -335,6 +339,14 @@
         }
     }
 
+    /// Opens a peer's actor anew if it has ended, which only a panic does while the server is listed.
+    fn revive(&mut self, server: ServerId) {
+        if let Some(known) = self.servers.get_mut(&server).filter(|s| s.mailbox.is_closed() && !s.gone()) {
+            eprintln!("server {}: its actor had ended", known.listing.name);
+            known.mailbox = self.peers.open(server, &known.listing, self.reports.clone());
+        }
+    }
+
     fn forget(&self, ticket: Ticket) {
         let server = self.attempts.get(&ticket).and_then(|out| self.servers.get(&out.server));
         if let Some(server) = server {
@@ -412,6 +424,7 @@
         let now = self.clock.now();
         self.probes.insert(number, (server, now));
         self.alarm(now + PROBE_TIMEOUT, Alarm::Probe(number));
+        self.revive(server);
         // Full: the alarm ends it.
         if let Some(server) = self.servers.get(&server) {
             let _ = server.mailbox.try_send(Order::Probe(number));
@@ -438,7 +451,7 @@
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let (mut told, mut dead) = (Vec::new(), Vec::new());
         if full {
-            self.servers.values_mut().for_each(|s| s.gone = true);
+            self.servers.values_mut().for_each(|s| s.listing.state = MemberState::Gone);
         }
         for listing in &members {
             let (zone, kind) =
@@ -454,24 +467,23 @@
             let old = self.servers.get(&server);
             // Read once: a second reading could differ by a little and pass for another start.
             let since = match old {
-                Some(old) if old.since == listing.since => old.steady_since,
+                Some(old) if old.listing.since == listing.since => old.since,
                 _ => self.clock.steady(listing.since),
             };
-            let same = old.is_some_and(|s| s.address == listing.address && s.since == listing.since);
+            let place = |l: &Listing| (l.address.clone(), l.since);
+            let same = old.is_some_and(|old| place(&old.listing) == place(listing));
             if old.is_some() && !same && listing.since > 0 {
                 dead.push((server, since));
             }
-            if !same && listing.state != MemberState::Gone {
+            match self.servers.get_mut(&server) {
+                Some(known) if same || listing.state == MemberState::Gone => known.listing = listing.clone(),
+                None if listing.state == MemberState::Gone => {}
                 // Not known, elsewhere, or a new process: connections to an old one are worth nothing, and
                 // on a machine that vanished they would stay open and silent.
-                let mailbox = self.peers.open(server, listing, self.reports.clone());
-                let (name, address) = (listing.name.clone(), listing.address.clone());
-                let (told_since, steady_since) = (listing.since, since);
-                let entry = Server { name, address, since: told_since, steady_since, gone: false, mailbox };
-                self.servers.insert(server, entry);
-            }
-            if let Some(known) = self.servers.get_mut(&server) {
-                known.gone = listing.state == MemberState::Gone;
+                _ => {
+                    let mailbox = self.peers.open(server, listing, self.reports.clone());
+                    self.servers.insert(server, Server { listing: listing.clone(), since, mailbox });
+                }
             }
             let (cell, state, size) = (listing.cell, listing.state, listing.size);
             told.push(Member { server, zone, kind, cell, state, size, since });
@@ -487,7 +499,7 @@
             self.finish(ticket, Outcome::Reset, None);
         }
         let attempts = &self.attempts;
-        self.servers.retain(|id, s| !s.gone || attempts.values().any(|out| out.server == *id));
+        self.servers.retain(|id, s| !s.gone() || attempts.values().any(|out| out.server == *id));
         let servers = &self.servers;
         self.names.retain(|_, id| servers.contains_key(id));
     }
--- a/src/middleware.rs
+++ b/src/middleware.rs
@@ -10,8 +10,8 @@
 use crate::net::clients::{bare_tag, LARGEST_WRITE};
 use crate::signed::{self, Counts, Denied, Grant, Keys, Worded};
 use bytes::Bytes;
-use http::header::{CACHE_CONTROL, CONTENT_TYPE, ETAG, HOST, IF_NONE_MATCH, RETRY_AFTER};
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Uri};
+use http::header::{ALLOW, CACHE_CONTROL, CONTENT_TYPE, ETAG, HOST, IF_NONE_MATCH, RETRY_AFTER};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use std::convert::Infallible;
 use std::future::{ready, Future};
@@ -133,14 +133,17 @@
     fn call(&mut self, request: Request<B>) -> Self::Future {
         let Director { core, counts } = self.clone();
         Box::pin(async move {
-            let bad = |status| {
+            let bad = |status, allow: Option<&'static str>| {
                 counts.add("bad_request");
-                Ok(empty(status))
+                let mut response = empty(status);
+                response.headers_mut().extend(allow.map(|m| (ALLOW, HeaderValue::from_static(m))));
+                Ok(response)
             };
             let (parts, body) = request.into_parts();
-            let Ok(body) = Limited::new(body, LARGEST_WRITE).collect().await else { return bad(413) };
+            let Ok(body) = Limited::new(body, LARGEST_WRITE).collect().await else { return bad(413, None) };
             // Without the layer the target is taken as it is, and does not expire.
-            let open = || Grant { target: parts.uri.to_string(), valid_until: None };
+            let target = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+            let open = || Grant { target: target.to_owned(), valid_until: None };
             let grant = parts.extensions.get::<Grant>().cloned().unwrap_or_else(open);
             let known = only(&parts.headers, &IF_NONE_MATCH).map(bare_tag);
             let id = core.fresh_id();
@@ -150,7 +153,7 @@
                     let answer: Answer = core.ask(ask).await;
                     Ok(say(&counts, signed::word(Ok(answer))))
                 }
-                Err(status) => bad(status),
+                Err(unfit) => bad(unfit.status, unfit.allow),
             }
         })
     }
@@ -166,7 +169,7 @@
     counts.add(worded.outcome);
     let mut response = empty(worded.status);
     let headers = response.headers_mut();
-    let text = |value: &str| http::HeaderValue::from_str(value).ok();
+    let text = |value: &str| HeaderValue::from_str(value).ok();
     match worded.status {
         200 => headers.extend(text("application/octet-stream").map(|v| (CONTENT_TYPE, v))),
         304 => {}
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Bytes read ahead of a request in hand; a client that sends more waits.
 const READ_AHEAD: usize = 64 * 1024;
@@ -94,94 +94,115 @@
     }
 }
 
+/// A client's connection.
+struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    /// A request's head, while its body is awaited.
+    head: Option<Head>,
+    /// When the request that has begun must have come whole.
+    due: Option<Instant>,
+}
+
 /// Serves one connection to its end.
-async fn serve<F: Front>(mut stream: TcpStream, shared: &Shared, front: &F) {
+async fn serve<F: Front>(stream: TcpStream, shared: &Shared, front: &F) {
     let _ = stream.set_nodelay(true);
-    let (mut buffer, mut closing) = (BytesMut::with_capacity(2048), shared.closing.clone());
+    let buffer = BytesMut::with_capacity(2048);
+    let (mut connection, mut closing) =
+        (Connection { stream, buffer, head: None, due: None }, shared.closing.clone());
     loop {
         let request = tokio::select! {
-            request = next_request(&mut stream, &mut buffer, front.largest_body()) => request,
-            _ = closing.wait_for(|c| *c), if buffer.is_empty() => return,
+            request = connection.next_request(front.largest_body()) => request,
+            // One that has begun to come is taken, and answered before the program ends.
+            _ = closing.wait_for(|c| *c), if connection.idle() => match connection.idle() {
+                true => return,
+                false => continue,
+            },
         };
         let (head, body) = match request {
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(bad) => {
-                let _ = write(&mut stream, &Response::empty(bad.status()), true).await;
-                linger(&mut stream).await;
+                let _ = connection.write(&Response::empty(bad.status()), true).await;
+                connection.linger().await;
                 return;
             }
         };
         let _counted = Counted::new(&shared.open);
         let response = match front.read(&head, body) {
             Err(response) => response,
-            Ok(ask) => {
-                tokio::select! {
-                    answer = shared.core.ask(ask) => front.word(answer),
-                    // Dropping the pending answer tells the core that the client has gone.
-                    () = gone(&mut stream, &mut buffer) => return,
-                }
-            }
+            Ok(ask) => tokio::select! {
+                answer = shared.core.ask(ask) => front.word(answer),
+                // Dropping the pending answer tells the core that the client has gone.
+                () = connection.gone() => return,
+            },
         };
         let close = head.close || *shared.closing.borrow();
-        if write(&mut stream, &response, close).await.is_err() || close {
+        if connection.write(&response, close).await.is_err() || close {
             return;
         }
     }
 }
 
-/// Reads the next request; none: the client closed the connection or left it idle.
-async fn next_request(
-    stream: &mut TcpStream,
-    buffer: &mut BytesMut,
-    largest_body: usize,
-) -> Result<Option<(Head, Bytes)>, BadRequest> {
-    let mut head: Option<Head> = None;
-    loop {
-        if head.is_none() {
-            head = http::parse_head(buffer, largest_body)?;
-            if head.as_ref().is_some_and(|h| h.expects_continue && buffer.len() < h.length) {
-                let leave = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
-                if !matches!(timeout(WHOLE_ANSWER, leave).await, Ok(Ok(()))) {
-                    return Ok(None);
+impl Connection {
+    /// Whether nothing of a next request has come.
+    fn idle(&self) -> bool {
+        self.buffer.is_empty() && self.head.is_none()
+    }
+
+    /// Reads the next request; none: the client closed the connection, left it idle or took too long. What
+    /// has come so far stays when the future is dropped.
+    async fn next_request(&mut self, largest_body: usize) -> Result<Option<(Head, Bytes)>, BadRequest> {
+        loop {
+            if self.head.is_none() {
+                self.head = http::parse_head(&mut self.buffer, largest_body)?;
+                if self.head.as_ref().is_some_and(|h| h.expects_continue && self.buffer.len() < h.length) {
+                    let leave = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    if !matches!(timeout(WHOLE_ANSWER, leave).await, Ok(Ok(()))) {
+                        return Ok(None);
+                    }
                 }
             }
-        }
-        if let Some(found) = head.take_if(|h| buffer.len() >= h.length) {
-            let body = buffer.split_to(found.length).freeze();
-            return Ok(Some((found, body)));
-        }
-        let patience = if buffer.is_empty() && head.is_none() { IDLE } else { WHOLE_REQUEST };
-        match timeout(patience, stream.read_buf(buffer)).await {
-            Ok(Ok(n)) if n > 0 => {}
-            _ => return Ok(None),
+            if let Some(head) = self.head.take_if(|h| self.buffer.len() >= h.length) {
+                self.due = None;
+                let body = self.buffer.split_to(head.length).freeze();
+                return Ok(Some((head, body)));
+            }
+            // Counted from a request's first byte, so that one that trickles in holds no place for ever.
+            let due = match self.idle() {
+                true => Instant::now() + IDLE,
+                false => *self.due.get_or_insert_with(|| Instant::now() + WHOLE_REQUEST),
+            };
+            match timeout_at(due, self.stream.read_buf(&mut self.buffer)).await {
+                Ok(Ok(n)) if n > 0 => {}
+                _ => return Ok(None),
+            }
         }
     }
-}
 
-/// Returns once the client has closed or reset the connection.
-async fn gone(stream: &mut TcpStream, buffer: &mut BytesMut) {
-    while buffer.len() < READ_AHEAD {
-        match stream.read_buf(buffer).await {
-            Ok(n) if n > 0 => {}
-            _ => return,
+    /// Returns once the client has closed or reset the connection.
+    async fn gone(&mut self) {
+        while self.buffer.len() < READ_AHEAD {
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
         }
+        std::future::pending().await
     }
-    std::future::pending().await
-}
 
-async fn write(stream: &mut TcpStream, response: &Response, close: bool) -> std::io::Result<()> {
-    let mut bytes = Bytes::from(response.head(close)).chain(response.body.clone());
-    timeout(WHOLE_ANSWER, stream.write_all_buf(&mut bytes))
-        .await
-        .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
-}
+    async fn write(&mut self, response: &Response, close: bool) -> std::io::Result<()> {
+        let mut bytes = Bytes::from(response.head(close)).chain(response.body.clone());
+        let written = timeout(WHOLE_ANSWER, self.stream.write_all_buf(&mut bytes)).await;
+        written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+    }
 
-/// Reads on for a moment after an answer that closes, as RFC 9112 (9.6) advises: closing with unread bytes
-/// resets the connection, and the client might never see the answer.
-async fn linger(stream: &mut TcpStream) {
-    let _ = stream.shutdown().await;
-    let mut scrap = [0; 4096];
-    let drain = async { while matches!(stream.read(&mut scrap).await, Ok(n) if n > 0) {} };
-    let _ = timeout(Duration::from_millis(500), drain).await;
+    /// Reads on for a moment after an answer that closes, as RFC 9112 (9.6) advises: closing with unread
+    /// bytes resets the connection, and the client might never see the answer.
+    async fn linger(&mut self) {
+        let _ = self.stream.shutdown().await;
+        let mut scrap = [0; 4096];
+        let drain = async { while matches!(self.stream.read(&mut scrap).await, Ok(n) if n > 0) {} };
+        let _ = timeout(Duration::from_millis(500), drain).await;
+    }
 }
--- a/src/net/signed.rs
+++ b/src/net/signed.rs
@@ -95,9 +95,13 @@
         let grant = self.check(head).map_err(|denied| self.say(signed::word(Err(denied))))?;
         let known = head.only("if-none-match").map(bare_tag);
         let id = self.core.fresh_id();
-        signed::ask(self.core.settings(), &head.method, &grant, id, known, body).map_err(|status| {
+        signed::ask(self.core.settings(), &head.method, &grant, id, known, body).map_err(|unfit| {
             self.counts.add("bad_request");
-            Response::empty(status)
+            let response = Response::empty(unfit.status);
+            match unfit.allow {
+                Some(method) => response.with("Allow", method.into()),
+                None => response,
+            }
         })
     }
 
--- a/src/signed/keys.rs
+++ b/src/signed/keys.rs
@@ -12,8 +12,10 @@
 pub const MAX_SKEW: f64 = 60.0;
 /// Seconds of skew where none is set.
 const USUAL_SKEW: f64 = 5.0;
-/// The shortest secret, in bytes: signed URLs are issued with 128-bit keys.
-const SHORTEST_SECRET: usize = 16;
+/// The shortest secrets, in bytes: signed URLs are issued with 128-bit keys; RFC 7518 (3.2) asks that a
+/// token's be as long as its hash.
+const SHORTEST_URL_SECRET: usize = 16;
+const SHORTEST_TOKEN_SECRET: usize = 32;
 
 /// URL-safe base64, with padding or without; issuers differ in that.
 const BASE64URL: GeneralPurpose = GeneralPurpose::new(
@@ -142,10 +144,11 @@
             let key = p256::ecdsa::VerifyingKey::from_sec1_bytes(&bytes).map_err(|_| "not a P-256 point")?;
             return Ok(Secret::TokenEs256(Box::new(key)));
         }
-        if bytes.len() < SHORTEST_SECRET {
+        if bytes.len() < SHORTEST_URL_SECRET {
             return Err("shorter than 16 bytes");
         }
         match alg {
+            "HS256" if bytes.len() < SHORTEST_TOKEN_SECRET => Err("shorter than 32 bytes"),
             "HMAC-SHA1" => Ok(Secret::UrlSha1(bytes)),
             "HMAC-SHA256" => Ok(Secret::UrlSha256(bytes)),
             "HS256" => Ok(Secret::TokenHs256(bytes)),
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -11,7 +11,7 @@
 mod url;
 
 pub use keys::{KeyFile, Keys, MAX_SKEW};
-pub use request::{ask, word, Counts, Worded};
+pub use request::{ask, word, Counts, Unfit, Worded};
 
 use crate::api::Micros;
 
--- a/src/signed/request.rs
+++ b/src/signed/request.rs
@@ -9,8 +9,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Why a checked request is for nothing that is here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unfit {
+    /// The status.
+    pub status: u16,
+    /// With 405: the method that would do.
+    pub allow: Option<&'static str>,
+}
+
+const fn unfit(status: u16) -> Unfit {
+    Unfit { status, allow: None }
+}
+
 /// Reads `/CLASS/OBJECT`, the object's name with as many slashes as it has, and the parameters `block` (the
-/// part) and `family` (the group); the error is a status.
+/// part) and `family` (the group).
 pub fn ask(
     settings: &Settings,
     method: &str,
@@ -18,33 +31,34 @@
     id: Arc<str>,
     known: Option<&str>,
     body: Bytes,
-) -> Result<Ask, u16> {
+) -> Result<Ask, Unfit> {
     let (path, query) = grant.target.split_once('?').unwrap_or((&grant.target, ""));
-    let (class, object) = path.strip_prefix('/').and_then(|p| p.split_once('/')).ok_or(404_u16)?;
-    let class = settings.classes.iter().position(|c| c.name == class).ok_or(404_u16)?;
+    let (class, object) = path.strip_prefix('/').and_then(|p| p.split_once('/')).ok_or(unfit(404))?;
+    let class = settings.classes.iter().position(|c| c.name == class).ok_or(unfit(404))?;
     let facts = &settings.classes[class];
-    if method != if facts.write { "PUT" } else { "GET" } {
-        return Err(405);
+    let needed = if facts.write { "PUT" } else { "GET" };
+    if method != needed {
+        return Err(Unfit { status: 405, allow: Some(needed) });
     }
     // An object has one name: no other path leads to it.
     if object.split('/').any(|segment| matches!(segment, "" | "." | "..")) {
-        return Err(400);
+        return Err(unfit(400));
     }
     // The line protocol sets fields apart with these.
     let object = object.replace(',', "%2C").replace('=', "%3D");
     if !is_name(&object) {
-        return Err(400);
+        return Err(unfit(400));
     }
     let (mut part, mut group) = (None, None);
     for parameter in query.split('&').filter(|p| !p.is_empty()) {
-        let (name, value) = parameter.split_once('=').ok_or(400_u16)?;
+        let (name, value) = parameter.split_once('=').ok_or(unfit(400))?;
         let place = match name {
             "block" => &mut part,
             "family" => &mut group,
-            _ => return Err(400),
+            _ => return Err(unfit(400)),
         };
-        if place.replace(value.parse::<u32>().map_err(|_| 400_u16)?).is_some() {
-            return Err(400);
+        if place.replace(value.parse::<u32>().map_err(|_| unfit(400))?).is_some() {
+            return Err(unfit(400));
         }
     }
     Ok(Ask {
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -189,3 +189,24 @@
         assert_eq!(send(&site.address, &get("00000000000000aa", "")).await.status, 200);
     });
 }
+
+#[test]
+fn when_the_program_is_to_end_a_request_that_has_begun_is_still_answered() {
+    local(async {
+        let cache = Server::start(COPY).await;
+        let core = start(settings(), Clock::system(), vec![cache.listing("s-cache", "edge", "cache")]);
+        let (close, closing) = tokio::sync::watch::channel(false);
+        let address = serve_until(&core, Platform(core.clone()), closing).await;
+        let request = get("7f3a9c21e0b4d655", "").replace("Connection: close\r\n", "");
+        let mut idle = TcpStream::connect(&address).await.expect("a listener");
+        let mut begun = TcpStream::connect(&address).await.expect("a listener");
+        begun.write_all(&request.as_bytes()[..20]).await.expect("a reader");
+        tokio::time::sleep(Duration::from_millis(50)).await; // so that it has come
+        close.send(true).expect("a front");
+        assert_eq!(idle.read(&mut [0]).await.expect("an end"), 0, "idle connections end");
+        begun.write_all(&request.as_bytes()[20..]).await.expect("a reader");
+        let mut answer = String::new();
+        begun.read_to_string(&mut answer).await.expect("an answer and the end");
+        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
+    });
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -156,10 +156,15 @@
 
 /// Serves a front on a port of its own and returns its address.
 pub async fn serve<F: Front>(core: &Core, front: F) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address").to_string();
     let (close, closing) = watch::channel(false);
     std::mem::forget(close); // the front stays open for as long as the test runs
+    serve_until(core, front, closing).await
+}
+
+/// The same until it is told to close.
+pub async fn serve_until<F: Front>(core: &Core, front: F, closing: watch::Receiver<bool>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
     let places = Arc::new(Semaphore::new(100));
     let shared = Shared { core: core.clone(), places, closing, open: Rc::new(Cell::new(0)) };
     tokio::task::spawn_local(serve::accept(listener, shared, front));
