Number servers by the hex digits in their names

At fault: Actor::number in src/core/actor.rs hashed the name, so that every object met other caches and parents than the adapter gives it.

The number in a name that ends in 8 hex digits is now taken as it is; other names are hashed as before.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -504,12 +504,13 @@
         self.names.retain(|_, id| servers.contains_key(id));
     }
 
-    /// The number by which the module knows a server: a hash of its name, so that all directors agree on it.
+    /// The number by which the module knows a server. It goes by the name alone, so that all directors agree;
+    /// where two names share one, the later goes by the next that is free.
     fn number(&mut self, name: &Arc<str>) -> ServerId {
         if let Some(server) = self.names.get(name) {
             return *server;
         }
-        let mut number = hash(name) as u32;
+        let mut number = server_number(name);
         while self.servers.contains_key(&ServerId(number)) {
             number = number.wrapping_add(1);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -385,6 +385,14 @@
     hex.then(|| u64::from_str_radix(name, 16).ok()).flatten().unwrap_or_else(|| hash(name))
 }
 
+/// The number in a server's name where it ends in 8 hex digits after a hyphen, else a hash of the name. The
+/// hashes of the module then place objects here just as they do for a server of that number elsewhere.
+pub fn server_number(name: &str) -> u32 {
+    let digits = name.rsplit_once('-').map(|(_, digits)| digits);
+    let hex = digits.filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()));
+    hex.and_then(|d| u32::from_str_radix(d, 16).ok()).unwrap_or_else(|| hash(name) as u32)
+}
+
 /// FNV-1a with a finishing mix: the same on every machine and in every build.
 fn hash(text: &str) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -296,6 +296,8 @@
     assert_eq!(object_number("7f3a9c21e0b4d655"), 0x7f3a_9c21_e0b4_d655);
     assert_eq!(object_number("guide/one.mp4"), object_number("guide/one.mp4"));
     assert_ne!(object_number("guide/one.mp4"), object_number("guide/two.mp4"));
+    assert_eq!(server_number("s-07c63ad4"), 0x07c6_3ad4);
+    assert_ne!(server_number("toy-cache"), server_number("toy-parent"));
 }
 
 #[test]
