Show refused connections on the signed front; name the package's parts in its docs

tests/front.rs: servers that refuse connections give 502 with Retry-After, for a write as well since nothing ran.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,16 @@
-//! Routing decisions for caches that fill from parent caches and an origin.
+//! A director for cache networks: the decisions, the actor round them, and what speaks with the world.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`api`], [`Router`] | the decisions and their interface |
+//! | [`core`] | the actor that owns them, which knows no wire |
+//! | [`net`] | the daemon's sockets: both fronts, servers, the notice board |
+//! | [`signed`] | checks of signed URLs and tokens |
+//! | [`xds`] | member lists as Envoy reads them |
+//! | `middleware` | a tower layer and service, behind the feature of that name |
+//! | [`settings`], [`wire`] | the settings' decoder; the simulator's wire |
+//!
+//! # The decisions
 //!
 //! A [`Router`] is one gateway's decision maker. It holds no clock, does no I/O and shares nothing: the
 //! gateway tells it what happened ([`Event`]) and when, and carries out what it answers ([`Action`]).
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -4,7 +4,7 @@
 
 use base64::{engine::general_purpose::URL_SAFE, Engine};
 use foxhold::api::Micros;
-use foxhold::core::Clock;
+use foxhold::core::{Clock, Core, Message};
 use foxhold::net::signed::{FrontFile, Metrics, Signed};
 use foxhold::signed::{Counts, Keys};
 use hmac::{Hmac, KeyInit, Mac};
@@ -15,6 +15,7 @@
 const NOW: u64 = 1_764_576_000;
 
 struct Site {
+    core: Core,
     cache: Server,
     parent: Server,
     origin: Server,
@@ -42,7 +43,7 @@
     let counts = Arc::new(Counts::default());
     let front = Signed { core: core.clone(), keys, clock, counts: counts.clone() };
     let address = serve(&core, front).await;
-    Site { cache, parent, origin, address, counts }
+    Site { core, cache, parent, origin, address, counts }
 }
 
 impl Site {
@@ -224,3 +225,28 @@
     let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/front.json");
     assert!(FrontFile::read(&path).expect("a good file").is_none());
 }
+
+#[test]
+fn servers_that_refuse_connections_are_a_502_that_may_be_tried_again() {
+    local(async {
+        let nobody = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = nobody.local_addr().expect("an address").to_string();
+        let site = site(COPY, 0).await;
+        drop(nobody);
+        let member = |name, zone, kind| listing(name, &address, zone, kind);
+        let members = vec![
+            member("s-cache", "edge", "cache"),
+            member("s-parent", "hub", "parent"),
+            member("s-origin", "hub", "origin"),
+        ];
+        site.core.reports().send(Message::Members { full: true, members }).await;
+        for (method, path) in [("GET", "/videos/a"), ("PUT", "/filing/a")] {
+            let answer = site.send(method, &site.link(path, NOW + 60), "").await;
+            assert_eq!(answer.status, 502, "{method}");
+            // Nothing ran, so a write may come again as well.
+            assert!(answer.header("retry-after").is_some(), "{method}: {answer:?}");
+        }
+        site.counted("upstream", 2);
+        assert_eq!(site.sent(), 0);
+    });
+}
