Bound the requests held; test the servers' actor on real connections

Found by reading: middleware could hold any number of requests at the core, which turned none away for their number (src/core/actor.rs, ask); beyond 4096 they are refused at once with advice. An expiry's alarm now asks the Unix clock again, which may have been set back since. tests/servers.rs shows how far each broken attempt is said to have come, which connection an attempt goes on, late answers after a giving up, silent and idle connections.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -14,6 +14,8 @@
 /// An attempt that has not been sent by then is not sent at all. It stays well under the time in which drains
 /// and purges must be heeded: what is decided just before such news may still go out just after it.
 const SEND_WITHIN: Duration = Duration::from_millis(500);
+/// Requests that are held at a time. Fronts have fewer clients than that; middleware may have any number.
+const MOST_LIVE: usize = 4096;
 /// A probe without an answer by then has failed.
 const PROBE_TIMEOUT: Micros = 250_000;
 
@@ -164,6 +166,8 @@
             match alarm {
                 Alarm::Router(token) => self.events.push_back(Event::Timer(token)),
                 Alarm::Attempt(ticket) => self.finish(ticket, Outcome::TimedOut, None),
+                // The Unix clock decides; it may have been set back since the alarm was.
+                Alarm::Expiry(number) if !self.expired(number) => self.watch_expiry(number),
                 Alarm::Expiry(number) => self.expire(number),
                 Alarm::Probe(number) => self.probed(number, Err(Broken::Written)),
             }
@@ -229,8 +233,11 @@
             size_kb: ask.size_kb,
             repeat: ask.repeat,
         };
-        if let Some(until) = ask.valid_until {
-            self.alarm(self.clock.steady(until), Alarm::Expiry(number));
+        if self.live.len() >= MOST_LIVE {
+            // Full: turned away at once, which is harmless as nothing ran.
+            let (wait, cause) = (Some(WHEN_FULL), Cause::Busy);
+            let _ = reply.send(Answer::Refused { wait, cause });
+            return;
         }
         let live =
             Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0, failed: false };
@@ -238,10 +245,20 @@
         if self.expired(number) {
             self.expire(number);
         } else {
+            self.watch_expiry(number);
             self.events.push_back(Event::Request(request));
         }
     }
 
+    /// Sets the alarm for the end of a request's credential, where it has one and is not yet answered.
+    fn watch_expiry(&mut self, number: u64) {
+        let waiting = self.live.get(&number).filter(|l| l.reply.is_some());
+        if let Some(until) = waiting.and_then(|l| l.ask.valid_until) {
+            let at = self.clock.steady(until).max(self.clock.now() + 1);
+            self.alarm(at, Alarm::Expiry(number));
+        }
+    }
+
     fn cause(&self, number: u64) -> Cause {
         match self.live.get(&number) {
             Some(live) if self.clock.now() >= live.deadline => Cause::Deadline,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -313,3 +313,22 @@
         }
     });
 }
+
+#[test]
+fn beyond_what_is_held_requests_are_turned_away_at_once() {
+    paused(async {
+        let site = site();
+        let mut held = Vec::new();
+        for _ in 0..256 {
+            held.extend((0..16).map(|_| site.core.ask(ask(1))));
+            settle().await; // so that no mailbox fills
+        }
+        assert_eq!(site.told.wants().len(), 4096);
+        let begun = Instant::now();
+        let answer = site.core.ask(ask(1)).await;
+        assert!(matches!(answer, Answer::Refused { wait: Some(_), cause: Cause::Busy }), "{answer:?}");
+        assert!(begun.elapsed() < Duration::from_millis(5));
+        assert_eq!(site.told.wants().len(), 4096);
+        drop(held);
+    });
+}
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -17,13 +17,7 @@
 }
 
 async fn site(manner: Manner) -> Site {
-    let (cache, parent) = (Server::start(manner.clone()).await, Server::start(manner.clone()).await);
-    let origin = Server::start(manner).await;
-    let members = vec![
-        cache.listing("s-cache", "edge", "cache"),
-        parent.listing("s-parent", "hub", "parent"),
-        origin.listing("s-origin", "hub", "origin"),
-    ];
+    let ([cache, parent, origin], members) = trio(manner).await;
     let core = start(settings(), Clock::system(), members);
     let address = serve(&core, Platform(core.clone())).await;
     Site { cache, parent, origin, address }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -25,13 +25,7 @@
 
 /// A director whose clock is `off` microseconds from the issuer's, and servers that all behave alike.
 async fn site(manner: Manner, off: i64) -> Site {
-    let (cache, parent) = (Server::start(manner.clone()).await, Server::start(manner.clone()).await);
-    let origin = Server::start(manner).await;
-    let members = vec![
-        cache.listing("s-cache", "edge", "cache"),
-        parent.listing("s-parent", "hub", "parent"),
-        origin.listing("s-origin", "hub", "origin"),
-    ];
+    let ([cache, parent, origin], members) = trio(manner).await;
     let clock = Clock::starting_at((NOW * 1_000_000).saturating_add_signed(off));
     let core = start(settings(), clock, members);
     let secret = URL_SAFE.encode(SECRET);
--- /dev/null
+++ b/tests/servers.rs
@@ -0,0 +1,196 @@
+//! The actor of a server against real connections: how each attempt ends, and on which connection it goes.
+
+mod standin;
+
+use foxhold::api::ServerId;
+use foxhold::core::{Broken, End, Message, Order, Peers, Reports, Ticket, Verdict, Want};
+use foxhold::net::servers::Servers;
+use foxhold::settings::Transport;
+use standin::{listing, local, transport, Manner, Server};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+struct Peer {
+    orders: mpsc::Sender<Order>,
+    news: mpsc::Receiver<Message>,
+}
+
+impl Peer {
+    fn open(address: &str, transport: Transport, descriptors: usize) -> Peer {
+        let (reports, news) = mpsc::channel(64);
+        let listing = listing("s-1", address, "edge", "cache");
+        let orders = Servers::new(transport, descriptors).open(ServerId(1), &listing, Reports::new(reports));
+        Peer { orders, news }
+    }
+
+    async fn want(&self, attempt: u32, id: &str, body: Vec<u8>) {
+        let until = Instant::now() + Duration::from_secs(20);
+        let want = Want {
+            ticket: Ticket { request: 1, attempt },
+            id: id.into(),
+            class: "videos".into(),
+            object: "aa".into(),
+            part: None,
+            until,
+            send_by: until,
+            via: None,
+            keep: 0,
+            max_age_ms: 0,
+            join: false,
+            held_only: false,
+            renew: false,
+            known: None,
+            body: body.into(),
+        };
+        self.orders.send(Order::Want(want)).await.expect("an actor");
+    }
+
+    async fn end(&mut self) -> (u32, End) {
+        match self.news.recv().await {
+            Some(Message::Ended(ticket, end)) => (ticket.attempt, end),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn broken(&mut self) -> Broken {
+        self.end().await.1.expect_err("an attempt that broke off")
+    }
+}
+
+/// Waits until the server has been sent so many requests.
+async fn sent(server: &Server, count: usize) {
+    while server.wants().len() < count {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[test]
+fn an_end_says_how_far_the_attempt_had_come() {
+    local(async {
+        for (manner, broken) in [(Manner::Closes, Broken::Written), (Manner::BreaksOff, Broken::Answering)] {
+            let server = Server::start(manner).await;
+            let mut peer = Peer::open(&server.address, transport(), 9);
+            peer.want(0, "a", Vec::new()).await;
+            assert_eq!(peer.broken().await, broken);
+        }
+        let nobody = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = nobody.local_addr().expect("an address").to_string();
+        drop(nobody);
+        let mut peer = Peer::open(&address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        assert_eq!(peer.broken().await, Broken::NotConnected);
+    });
+}
+
+#[test]
+fn a_request_that_the_server_can_t_have_whole_is_partly_written() {
+    local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut peer = Peer::open(&listener.local_addr().expect("an address").to_string(), transport(), 9);
+        peer.want(0, "a", vec![0; 64 << 20]).await; // more than the buffers between hold
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        stream.read_exact(&mut [0; 100]).await.expect("its beginning");
+        drop(stream);
+        assert_eq!(peer.broken().await, Broken::PartlyWritten);
+    });
+}
+
+#[test]
+fn without_a_descriptor_for_it_an_attempt_ends_unsent() {
+    local(async {
+        let server = Server::start(Manner::Silent).await;
+        let mut peer = Peer::open(&server.address, transport(), 0);
+        peer.want(0, "a", Vec::new()).await;
+        assert_eq!(peer.broken().await, Broken::Unwritten);
+        assert!(server.wants().is_empty());
+    });
+}
+
+#[test]
+fn attempts_share_a_connection_but_for_those_of_one_id_and_those_beyond_its_streams() {
+    for (streams, ids, connections) in
+        [(100, ["a", "b", "c"], 1), (100, ["a", "a", "b"], 2), (2, ["a", "b", "c"], 2)]
+    {
+        local(async {
+            let server = Server::start(Manner::Silent).await;
+            let peer = Peer::open(&server.address, Transport { streams, ..transport() }, 9);
+            for (attempt, id) in ids.into_iter().enumerate() {
+                peer.want(attempt as u32, id, Vec::new()).await;
+            }
+            sent(&server, 3).await;
+            assert_eq!(server.connections.get(), connections, "{streams} {ids:?}");
+        });
+    }
+}
+
+#[test]
+fn an_answer_that_crosses_its_giving_up_is_passed_over_and_the_connection_goes_on() {
+    local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut peer = Peer::open(&listener.local_addr().expect("an address").to_string(), transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut lines = BufReader::new(stream);
+        let mut text = String::new();
+        lines.read_line(&mut text).await.expect("a request");
+        peer.orders.send(Order::Forget(Ticket { request: 1, attempt: 0 })).await.expect("an actor");
+        peer.want(1, "b", Vec::new()).await;
+        while !text.contains("want b ") {
+            lines.read_line(&mut text).await.expect("a line");
+        }
+        assert!(text.contains("never_mind a\r\n"), "{text}");
+        let answers = b"a ACK - 4\r\nlate\r\nb ACK - 4\r\ngood\r\n";
+        lines.write_all(answers).await.expect("a reader");
+        let (attempt, end) = peer.end().await;
+        assert_eq!(attempt, 1);
+        assert!(matches!(end.expect("a reply").verdict, Verdict::Copy(copy) if copy.body == "good"));
+    });
+}
+
+#[test]
+fn an_answer_to_nothing_that_was_asked_ends_the_connection() {
+    local(async {
+        let server = Server::start(Manner::Says("other ACK - 4\r\ngood\r\n")).await;
+        let mut peer = Peer::open(&server.address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        assert_eq!(peer.broken().await, Broken::Written);
+    });
+}
+
+#[test]
+fn a_connection_that_stays_silent_past_a_giving_up_gets_nothing_new() {
+    local(async {
+        let server = Server::start(Manner::Silent).await;
+        let peer = Peer::open(&server.address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        sent(&server, 1).await;
+        tokio::time::sleep(Duration::from_millis(1100)).await;
+        peer.orders.send(Order::Forget(Ticket { request: 1, attempt: 0 })).await.expect("an actor");
+        while server.lines.borrow().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        peer.want(1, "b", Vec::new()).await;
+        sent(&server, 2).await;
+        assert_eq!(server.connections.get(), 2);
+    });
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_server_would_and_a_new_one_opened_when_needed() {
+    local(async {
+        let server = Server::start(Manner::Says("ID ACK - 0\r\n\r\n")).await;
+        let mut peer =
+            Peer::open(&server.address, Transport { idle: Duration::from_millis(50), ..transport() }, 9);
+        for (attempt, id) in ["a", "b"].into_iter().enumerate() {
+            peer.want(attempt as u32, id, Vec::new()).await;
+            assert!(peer.end().await.1.is_ok());
+            while server.closed.get() <= attempt {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+        assert_eq!(server.connections.get(), 2);
+    });
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -33,17 +33,28 @@
     pub address: String,
     pub manner: Rc<RefCell<Manner>>,
     pub lines: Rc<RefCell<Vec<String>>>,
+    /// Connections that came, and that have ended.
+    pub connections: Rc<Cell<usize>>,
+    pub closed: Rc<Cell<usize>>,
 }
 
 impl Server {
     pub async fn start(manner: Manner) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
-        let server = Server { address, manner: Rc::new(RefCell::new(manner)), lines: Rc::default() };
+        let (connections, closed) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let (manner, lines) = (Rc::new(RefCell::new(manner)), Rc::default());
+        let server = Server { address, manner, lines, connections, closed };
         let (manner, lines) = (server.manner.clone(), server.lines.clone());
+        let (connections, closed) = (server.connections.clone(), server.closed.clone());
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(Self::serve(stream, manner.clone(), lines.clone()));
+                connections.set(connections.get() + 1);
+                let (manner, lines, closed) = (manner.clone(), lines.clone(), closed.clone());
+                tokio::task::spawn_local(async move {
+                    Self::serve(stream, manner, lines).await;
+                    closed.set(closed.get() + 1);
+                });
             }
         });
         server
@@ -91,6 +102,19 @@
     }
 }
 
+/// A cache, a parent and an origin that all behave alike, and their entries in the list.
+pub async fn trio(manner: Manner) -> ([Server; 3], Vec<Listing>) {
+    let cache = Server::start(manner.clone()).await;
+    let parent = Server::start(manner.clone()).await;
+    let origin = Server::start(manner).await;
+    let members = vec![
+        cache.listing("s-cache", "edge", "cache"),
+        parent.listing("s-parent", "hub", "parent"),
+        origin.listing("s-origin", "hub", "origin"),
+    ];
+    ([cache, parent, origin], members)
+}
+
 pub fn listing(name: &str, address: &str, zone: &str, kind: &str) -> Listing {
     Listing {
         name: name.into(),
