Rotate keys without a restart; one watcher for keys and xDS lists

Keys were read at the start only, so that a rotation by name, which the front is for, took a restart. src/net/watched.rs reads a file again four times a second and hands on only what is good; the xDS list, which had such a watcher of its own, uses it as well. tests/front.rs: a new key takes force, a bad file changes nothing.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,15 +8,16 @@
 pub mod serve;
 pub mod servers;
 pub mod signed;
-pub mod xds_file;
+pub mod watched;
 
-use crate::core::{self, Clock};
+use crate::core::{self, Clock, Message, Reports};
 use crate::signed::Counts;
+use crate::xds;
 use clients::Platform;
 use config::Config;
 use serve::Shared;
 use servers::Servers;
-use signed::{FrontFile, Metrics, Signed};
+use signed::{parse_keys, FrontFile, Metrics, Signed};
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -25,6 +26,7 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
+use watched::Watched;
 
 /// After SIGTERM connections and requests keep coming for this long, and are served.
 const STILL_COMING: Duration = Duration::from_millis(700);
@@ -42,17 +44,19 @@
     let longest = transport.longest_deadline.max(LEAST_DEADLINE);
     let clock = Clock::system();
     let xds = second.as_ref().and_then(|file| file.xds.clone());
-    let listed = xds.as_deref().map(xds_file::read).transpose()?;
+    let listed = xds.map(|path| Watched::open(path, xds::parse)).transpose()?;
+    let keyed = second.map(|file| Ok::<_, String>((Watched::open(file.keys.clone(), parse_keys)?, file)));
+    let keyed = keyed.transpose()?;
     // Where the list comes from a file, the board tells of purges only.
     let purges_only = listed.is_some();
     let known = known.into_iter().filter_map(|notice| notice.message(purges_only));
-    let (text, list) = listed.unzip();
-    let known = list.into_iter().chain(known).collect();
+    let (list_file, list) = listed.unzip();
+    let known = list.into_iter().map(listed_members).chain(known).collect();
     let running = core::start(settings, seed, clock, Servers::new(transport, sockets * 2 / 5), known)
         .map_err(|e| e.to_string())?;
     let core = running.core;
-    if let (Some(path), Some(text)) = (xds, text) {
-        tokio::task::spawn_local(xds_file::follow(path, text, core.reports()));
+    if let Some(file) = list_file {
+        tokio::task::spawn_local(follow_members(file, core.reports()));
     }
     if !board.is_empty() {
         tokio::task::spawn_local(board::follow(board, rev, purges_only, core.reports()));
@@ -67,7 +71,9 @@
         Shared { core, places: places.clone(), closing, open: open.clone() }
     };
     let mut accepting = vec![serve::listen(&listen, share(), Platform(core.clone())).await?];
-    if let Some(FrontFile { listen, metrics, keys, .. }) = second {
+    if let Some(((keys_file, keys), FrontFile { listen, metrics, .. })) = keyed {
+        let (sender, keys) = watch::channel(Arc::new(keys));
+        tokio::task::spawn_local(signed::follow_keys(keys_file, sender));
         let counts = Arc::new(Counts::default());
         if let Some(metrics) = metrics.filter(|m| !m.is_empty()) {
             accepting.push(serve::listen(&metrics, share(), Metrics(counts.clone())).await?);
@@ -90,3 +96,15 @@
     sleep(Duration::from_millis(20)).await;
     Ok(())
 }
+
+fn listed_members(update: xds::Update) -> Message {
+    Message::Members { full: true, members: update.members }
+}
+
+/// Watches a list in xDS form; each good version of it takes the place of the one before.
+pub async fn follow_members(mut file: Watched, reports: Reports) {
+    loop {
+        let update = file.next(xds::parse).await;
+        reports.send(listed_members(update)).await;
+    }
+}
--- a/src/net/signed.rs
+++ b/src/net/signed.rs
@@ -3,12 +3,14 @@
 use super::clients::bare_tag;
 use super::http::{Head, Response};
 use super::serve::Front;
+use super::watched::Watched;
 use crate::core::{Answer, Ask, Clock, Core};
 use crate::signed::{self, Counts, Denied, KeyFile, Keys, Worded};
 use bytes::Bytes;
 use miniserde::{json, Deserialize};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use tokio::sync::watch;
 
 /// What the front's file says.
 #[derive(Debug)]
@@ -17,8 +19,8 @@
     pub listen: String,
     /// Where the counts can be read; none: nowhere.
     pub metrics: Option<String>,
-    /// How credentials are checked.
-    pub keys: Keys,
+    /// The file that says how credentials are checked.
+    pub keys: PathBuf,
     /// An xDS file to take the members from, instead of the board.
     pub xds: Option<PathBuf>,
 }
@@ -40,20 +42,28 @@
         let Some(listen) = raw.listen.filter(|l| !l.is_empty()) else { return Ok(None) };
         let beside = |file: String| path.parent().unwrap_or(Path::new("")).join(file);
         let keys = beside(raw.keys.ok_or_else(|| format!("{name}: 'keys' names no file"))?);
-        let keys_name = keys.display();
-        let text = std::fs::read_to_string(&keys).map_err(|e| format!("{keys_name}: {e}"))?;
-        let file: KeyFile = json::from_str(&text).map_err(|_| format!("{keys_name}: not keys in JSON"))?;
-        let keys = Keys::new(file).map_err(|e| format!("{keys_name}: {e}"))?;
         Ok(Some(FrontFile { listen, metrics: raw.metrics, keys, xds: raw.xds.map(beside) }))
     }
 }
 
+/// Reads the keys' file.
+pub fn parse_keys(text: &str) -> Result<Keys, String> {
+    Keys::new(json::from_str::<KeyFile>(text).map_err(|_| "not keys in JSON")?)
+}
+
+/// Watches the keys' file, so that keys can be added and removed while the program runs.
+pub async fn follow_keys(mut file: Watched, keys: watch::Sender<Arc<Keys>>) {
+    loop {
+        let _ = keys.send_replace(Arc::new(file.next(parse_keys).await));
+    }
+}
+
 /// The front: checks each request, and words each answer.
 pub struct Signed {
     /// Where checked requests go.
     pub core: Core,
-    /// How they are checked.
-    pub keys: Keys,
+    /// How they are checked, at present.
+    pub keys: watch::Receiver<Arc<Keys>>,
     /// What time it is.
     pub clock: Clock,
     /// How each ended.
@@ -81,7 +91,7 @@
 
     fn check(&self, head: &Head) -> Result<signed::Grant, Denied> {
         let authority = head.only("host").ok_or(Denied::Malformed)?;
-        signed::check(&self.keys, authority, &head.target, self.clock.unix())
+        signed::check(&self.keys.borrow(), authority, &head.target, self.clock.unix())
     }
 }
 
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -5,11 +5,14 @@
 use base64::{engine::general_purpose::URL_SAFE, Engine};
 use foxhold::api::Micros;
 use foxhold::core::{Clock, Core, Message};
-use foxhold::net::signed::{FrontFile, Metrics, Signed};
-use foxhold::signed::{Counts, Keys};
+use foxhold::net::signed::{follow_keys, parse_keys, FrontFile, Metrics, Signed};
+use foxhold::net::watched::Watched;
+use foxhold::signed::Counts;
 use hmac::{Hmac, KeyInit, Mac};
 use standin::*;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
 
 const SECRET: &[u8] = b"0123456789abcdef0123456789abcdef";
 const NOW: u64 = 1_764_576_000;
@@ -33,7 +36,7 @@
         r#"{{"scheme":"http","keys":[{{"name":"u1","alg":"HMAC-SHA1","key":"{secret}"}},
         {{"name":"t1","alg":"HS256","key":"{secret}"}}]}}"#
     );
-    let keys = Keys::new(miniserde::json::from_str(&file).expect("JSON")).expect("good keys");
+    let keys = watch::channel(Arc::new(parse_keys(&file).expect("good keys"))).1;
     let counts = Arc::new(Counts::default());
     let front = Signed { core: core.clone(), keys, clock, counts: counts.clone() };
     let address = serve(&core, front).await;
@@ -244,3 +247,27 @@
         assert_eq!(site.sent(), 0);
     });
 }
+
+#[test]
+fn keys_are_rotated_while_the_program_runs_and_a_bad_file_changes_nothing() {
+    let path = std::env::temp_dir().join(format!("foxhold-keys-{}.json", std::process::id()));
+    let file = |name: &str| {
+        let key = URL_SAFE.encode(SECRET);
+        format!(r#"{{"scheme":"http","keys":[{{"name":"{name}","alg":"HMAC-SHA1","key":"{key}"}}]}}"#)
+    };
+    std::fs::write(&path, file("u0")).expect("a file");
+    paused(async {
+        let (watched, first) = Watched::open(path.clone(), parse_keys).expect("a good file");
+        let (sender, keys) = watch::channel(Arc::new(first));
+        tokio::task::spawn_local(follow_keys(watched, sender));
+        let names = || format!("{:?}", keys.borrow());
+        for (text, expected) in
+            [("{".to_owned(), "u0"), (file("u1"), "u1"), (file("u1").replace("SHA1", "X"), "u1")]
+        {
+            std::fs::write(&path, text).expect("a file");
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            assert!(names().contains(&format!("[\"{expected}\"]")), "{}", names());
+        }
+    });
+    std::fs::remove_file(&path).expect("the file");
+}
--- a/tests/xds.rs
+++ b/tests/xds.rs
@@ -4,7 +4,8 @@
 
 use foxhold::api::MemberState;
 use foxhold::core::{Listing, Message, Reports};
-use foxhold::{net::xds_file, xds};
+use foxhold::net::{follow_members, watched::Watched};
+use foxhold::xds;
 use standin::{listing, paused};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -102,9 +103,9 @@
     std::fs::write(&path, SNAKE).expect("a file");
     paused(async {
         let (mailbox, mut inbox) = mpsc::channel(8);
-        let (text, first) = xds_file::read(&path).expect("a good file");
-        assert!(matches!(first, Message::Members { full: true, members } if members.len() == 2));
-        tokio::task::spawn_local(xds_file::follow(path.clone(), text, Reports::new(mailbox)));
+        let (file, first) = Watched::open(path.clone(), xds::parse).expect("a good file");
+        assert_eq!(first.members.len(), 2);
+        tokio::task::spawn_local(follow_members(file, Reports::new(mailbox)));
         std::fs::write(&path, SNAKE.replace("9090", "0")).expect("a file");
         assert!(
             timeout(Duration::from_secs(5), inbox.recv()).await.is_err(),
