--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -14,6 +14,8 @@
 /// An attempt that has not been sent by then is not sent at all. It stays well under the time in which drains
 /// and purges must be heeded: what is decided just before such news may still go out just after it.
 const SEND_WITHIN: Duration = Duration::from_millis(500);
+/// The longest that a request is held, whatever its client says.
+const LONGEST_ALLOW: Duration = Duration::from_secs(24 * 3600);
 /// Requests that are held at a time. Fronts have fewer clients than that; middleware may have any number.
 const MOST_LIVE: usize = 4096;
 /// A probe without an answer by then has failed.
@@ -222,7 +224,8 @@
 
     fn ask(&mut self, number: u64, ask: Ask, reply: oneshot::Sender<Answer>) {
         let now = self.clock.now();
-        let deadline = now + (ask.allow.as_micros() as Micros).saturating_sub(WAY_BACK);
+        let allow = ask.allow.min(LONGEST_ALLOW).as_micros() as Micros;
+        let deadline = now + allow.saturating_sub(WAY_BACK);
         let request = Request {
             id: RequestId(number),
             class: ask.class,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -61,7 +61,7 @@
             listen: raw.listen,
             board: raw.board.unwrap_or_default(),
             seed: seed(raw.seed.as_ref())?,
-            sockets: raw.limits.and_then(|l| l.sockets).map_or(1024, |n| n.max(64.0) as usize),
+            sockets: raw.limits.and_then(|l| l.sockets).map_or(1024, |n| n.clamp(64.0, 1e6) as usize),
             settings,
             transport,
             rev,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -332,3 +332,14 @@
         drop(held);
     });
 }
+
+#[test]
+fn a_client_that_would_wait_for_ever_is_held_for_a_day_at_most() {
+    paused(async {
+        let (site, begun) = (site(), Instant::now());
+        let answer =
+            site.core.ask(Ask { allow: Duration::MAX, valid_until: Some(Micros::MAX), ..ask(1) }).await;
+        assert_eq!(answer, Answer::Failed(Cause::Deadline));
+        assert!(begun.elapsed() <= Duration::from_secs(24 * 3600), "{:?}", begun.elapsed());
+    });
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -35,7 +35,7 @@
 }
 
 fn terminate(child: &Child) {
-    let status = Command::new("kill").arg(child.id().to_string()).status().expect("kill");
+    let status = Command::new("sh").args(["-c", &format!("kill {}", child.id())]).status().expect("a shell");
     assert!(status.success());
 }
 
