Test the follower of the notice board

tests/board.rs: after a break it asks from its last event on and takes nothing twice; a bad line, a number ahead of its own or silence ends the connection; with a list from a file it tells of purges only. Nothing was at fault.

--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,8 +1,8 @@
 //! Servers: an actor for each cache, parent and origin, and its multiplexed connections.
 //!
 //! The actor takes orders from the core and places each on a connection; every connection is a task of its
-//! own that reports ends straight to the core. An attempt that was not written when its connection ended goes
-//! back to the actor, which places it once more.
+//! own that reports ends straight to the core. An attempt that no connection began to write goes back to the
+//! actor when its connection ends, and is placed anew for as long as it may still be sent.
 
 use super::lines::{self, Content, Reader};
 use crate::api::ServerId;
--- /dev/null
+++ b/tests/board.rs
@@ -0,0 +1,98 @@
+//! The follower of the notice board against a stand-in board on loopback.
+
+mod standin;
+
+use foxhold::core::{Message, Reports};
+use foxhold::net::board;
+use standin::local;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+struct Board {
+    listener: TcpListener,
+    news: mpsc::Receiver<Message>,
+}
+
+impl Board {
+    /// A follower that has the events up to 3.
+    async fn start(purges_only: bool) -> Board {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let (reports, news) = mpsc::channel(16);
+        tokio::task::spawn_local(board::follow(address, 3, purges_only, Reports::new(reports)));
+        Board { listener, news }
+    }
+
+    /// The follower's next connection, and what it asks for.
+    async fn connection(&self) -> (TcpStream, String) {
+        let (stream, _) = self.listener.accept().await.expect("a connection");
+        let mut stream = BufReader::new(stream);
+        let mut line = String::new();
+        stream.read_line(&mut line).await.expect("a line");
+        (stream.into_inner(), line)
+    }
+
+    /// The object of the next purge that it reports.
+    async fn purge(&mut self) -> String {
+        match self.news.recv().await {
+            Some(Message::Purged { object: Some(object), .. }) => object.to_string(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn purge(rev: u64) -> String {
+    format!("{{\"rev\":{rev},\"flush\":{{\"asset\":\"{rev}\",\"ms\":1764576000123}}}}\n")
+}
+
+const MEMBERS: &str = "{\"rev\":5,\"pool\":{\"complete\":true,\"members\":[]}}\n";
+
+#[test]
+fn after_a_break_it_asks_for_what_it_has_not_had_and_takes_nothing_twice() {
+    local(async {
+        let mut board = Board::start(false).await;
+        let (mut stream, asked) = board.connection().await;
+        assert_eq!(asked, "watch 3\n");
+        stream.write_all(purge(4).as_bytes()).await.expect("a reader");
+        assert_eq!(board.purge().await, "4");
+        drop(stream);
+        let (mut stream, asked) = board.connection().await;
+        assert_eq!(asked, "watch 4\n");
+        stream.write_all((purge(4) + "4\n" + &purge(5)).as_bytes()).await.expect("a reader");
+        assert_eq!(board.purge().await, "5");
+    });
+}
+
+#[test]
+fn a_bad_line_a_number_ahead_or_silence_ends_the_connection() {
+    // What was read before the fault counts, and the event that was missed comes on the next connection.
+    for fault in ["{\"rev\":\n", "{\"rev\":5,\"flush\":{\"ms\":1}}\n", "9\n", ""] {
+        local(async {
+            let mut board = Board::start(false).await;
+            let (mut stream, _) = board.connection().await;
+            stream.write_all((purge(4) + fault).as_bytes()).await.expect("a reader");
+            assert_eq!(board.purge().await, "4");
+            let (_, asked) = board.connection().await;
+            assert_eq!(asked, "watch 4\n", "{fault}");
+            drop(stream);
+        });
+    }
+}
+
+#[test]
+fn where_the_list_comes_from_a_file_the_board_tells_of_purges_only() {
+    for purges_only in [false, true] {
+        local(async {
+            let mut board = Board::start(purges_only).await;
+            let (mut stream, _) = board.connection().await;
+            let events = purge(4) + MEMBERS + &purge(6);
+            stream.write_all(events.as_bytes()).await.expect("a reader");
+            assert_eq!(board.purge().await, "4");
+            if !purges_only {
+                assert!(matches!(board.news.recv().await, Some(Message::Members { full: true, .. })));
+            }
+            assert_eq!(board.purge().await, "6");
+        });
+    }
+}
