--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -214,7 +214,7 @@
             }
             Action::Wake { at, token } => self.alarm(at, Alarm::Router(token)),
             Action::Probe(server) => self.probe(server),
-            Action::Log(line) => eprintln!("module: {line}"),
+            Action::Log(line) => log!("module: {line}"),
             // The list comes by itself, and there is no wire between routers.
             Action::Subscribe | Action::FetchList | Action::Tell { .. } => {}
         }
@@ -362,7 +362,7 @@
     /// Opens a peer's actor anew if it has ended, which only a panic does while the server is listed.
     fn revive(&mut self, server: ServerId) {
         if let Some(known) = self.servers.get_mut(&server).filter(|s| s.mailbox.is_closed() && !s.gone()) {
-            eprintln!("server {}: its actor had ended", known.listing.name);
+            log!("server {}: its actor had ended", known.listing.name);
             known.mailbox = self.peers.open(server, &known.listing, self.reports.clone());
         }
     }
@@ -477,7 +477,7 @@
             let (zone, kind) =
                 (place(&self.settings.zones, &listing.zone), place(&self.settings.kinds, &listing.kind));
             let (Some(zone), Some(kind)) = (zone, kind) else {
-                eprintln!(
+                log!(
                     "list: {} is of zone {} and kind {}, not both known",
                     listing.name, listing.zone, listing.kind
                 );
--- a/src/net/board.rs
+++ b/src/net/board.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// The board writes at least once a second; after this long without a byte the connection counts as dead.
@@ -170,15 +171,40 @@
     }
 }
 
-/// Follows the board for as long as the program runs, from the event after `last` on.
-pub async fn follow(address: String, mut last: u64, purges_only: bool, reports: Reports) {
+/// Follows the board for as long as the program runs, from the event after `last` on. A new address is turned
+/// to at once, with the number of the last event: the old one tells nothing more.
+pub async fn follow(
+    mut address: watch::Receiver<String>,
+    mut last: u64,
+    purges_only: bool,
+    reports: Reports,
+) {
     let mut wait = FIRST_WAIT;
     loop {
-        let before = last;
-        let error = connection(&address, &mut last, purges_only, &reports).await;
-        eprintln!("board: {error}; connecting anew after event {last}");
+        let (before, at) = (last, address.borrow_and_update().clone());
+        if at.is_empty() {
+            // Nothing to follow, unless a new configuration names one.
+            if address.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        // Nothing is lost where the address changes in the midst of an event: its number is taken when it has
+        // come whole, and the mailbox takes it before the next is read.
+        let error = tokio::select! {
+            error = connection(&at, &mut last, purges_only, &reports) => error,
+            Ok(()) = address.changed() => {
+                wait = FIRST_WAIT;
+                log!("board: told of another address; asking there after event {last}");
+                continue;
+            }
+        };
+        log!("board: {error}; connecting anew after event {last}");
         wait = if last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        sleep(wait).await;
+        tokio::select! {
+            () = sleep(wait) => {}
+            Ok(()) = address.changed() => address.mark_changed(),
+        }
     }
 }
 
@@ -213,10 +239,12 @@
                 Ok(Line::Last(_)) => {}
                 Ok(Line::Notice(notice)) if notice.rev <= *last => {}
                 Ok(Line::Notice(notice)) => {
-                    *last = notice.rev;
+                    let rev = notice.rev;
                     if let Some(message) = notice.message(purges_only) {
                         reports.send(message).await;
                     }
+                    // Only now: the wait for the mailbox may be cut short by a new address.
+                    *last = rev;
                 }
                 Err(error) => return format!("bad line: {error}"),
             }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,9 +5,10 @@
 use crate::settings::{decode_settings, decode_transport, Transport};
 use miniserde::json::{self, Value};
 use miniserde::Deserialize;
+use std::path::Path;
 
 /// What a director is told at its start.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Where clients connect.
     pub listen: String,
@@ -49,6 +50,13 @@
 }
 
 impl Config {
+    /// Reads a configuration from its file; the error is one plain line.
+    pub fn read(path: &Path) -> Result<Config, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("configuration {name}: {e}"))?;
+        Config::parse(&text).map_err(|e| format!("configuration {name}: {e}"))
+    }
+
     /// Reads a configuration; the error is one plain line.
     pub fn parse(text: &str) -> Result<Config, String> {
         let raw: Raw = json::from_str(text)
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,6 +12,8 @@
 pub enum BadRequest {
     /// 400
     Malformed,
+    /// 408
+    TooSlow,
     /// 413
     BodyTooLarge,
     /// 431
@@ -27,6 +29,7 @@
     pub fn status(self) -> u16 {
         match self {
             BadRequest::Malformed => 400,
+            BadRequest::TooSlow => 408,
             BadRequest::BodyTooLarge => 413,
             BadRequest::HeadTooLarge => 431,
             BadRequest::NotImplemented => 501,
@@ -107,10 +110,11 @@
         headers.push((name.to_ascii_lowercase(), value.to_owned()));
     }
     let all = |name: &str| headers.iter().filter(|h| h.0 == name).map(|h| h.1.as_str()).collect::<Vec<_>>();
+    let lengths = all("content-length");
     if !all("transfer-encoding").is_empty() {
-        return Err(BadRequest::NotImplemented); // no client of ours sends it, and its length is not told
+        // No client of ours sends it. With a length beside it one of the two would hide a second request.
+        return Err(if lengths.is_empty() { BadRequest::NotImplemented } else { BadRequest::Malformed });
     }
-    let lengths = all("content-length");
     // Two lengths, or none that can be read, would leave open where the next request begins.
     let length = match lengths[..] {
         [] => 0,
@@ -189,6 +193,7 @@
         403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,7 +15,7 @@
 use crate::xds;
 use clients::Platform;
 use config::Config;
-use serve::Shared;
+use serve::{Places, Shared};
 use servers::Servers;
 use signed::{parse_keys, FrontFile, Metrics, Signed};
 use std::cell::Cell;
@@ -23,7 +23,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use watched::Watched;
@@ -34,13 +34,17 @@
 const LEAST_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Runs a director until `terminated` is done and what it had taken by then is answered. The second front
-/// runs beside the platform's where its file says so.
+/// runs beside the platform's where its file says so. Of a configuration that comes later the board's address
+/// is taken over; whatever is under way is left alone.
 pub async fn run(
     config: Config,
     second: Option<FrontFile>,
+    configs: mpsc::Receiver<Config>,
     terminated: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let Config { listen, board, seed, sockets, settings, transport, rev, known } = config;
+    let (to_board, board) = watch::channel(config.board.clone());
+    tokio::task::spawn_local(take_over(config.clone(), configs, to_board));
+    let Config { listen, seed, sockets, settings, transport, rev, known, .. } = config;
     let longest = transport.longest_deadline.max(LEAST_DEADLINE);
     let clock = Clock::system();
     let xds = second.as_ref().and_then(|file| file.xds.clone());
@@ -58,14 +62,12 @@
     if let Some(file) = list_file {
         tokio::task::spawn_local(follow_members(file, core.reports()));
     }
-    if !board.is_empty() {
-        tokio::task::spawn_local(board::follow(board, rev, purges_only, core.reports()));
-    }
+    tokio::task::spawn_local(board::follow(board, rev, purges_only, core.reports()));
     let (close, closing) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
     // Clients hold a third of the descriptors at most; a few more places let a new one in before an old one
-    // is seen to have gone.
-    let places = Arc::new(Semaphore::new(sockets * 2 / 5));
+    // is seen to have gone, and some more where none can make room at once.
+    let places = Places::new(sockets * 2 / 5, sockets / 2);
     let share = || {
         let (core, closing) = (core.clone(), closing.clone());
         Shared { core, places: places.clone(), closing, open: open.clone() }
@@ -97,6 +99,19 @@
     Ok(())
 }
 
+/// Takes over what can change while the program runs, which is where the board is; its numbers carry on, so
+/// the events that a later configuration holds will come from there. What else is new is logged.
+async fn take_over(mut config: Config, mut configs: mpsc::Receiver<Config>, board: watch::Sender<String>) {
+    while let Some(new) = configs.recv().await {
+        let fixed = |c: &Config| (c.listen.clone(), c.sockets, c.settings.clone(), c.transport.clone());
+        if fixed(&new) != fixed(&config) {
+            log!("configuration: only 'board' is taken over; other changes wait for a restart");
+        }
+        config = new;
+        board.send_if_modified(|at| std::mem::replace(at, config.board.clone()) != config.board);
+    }
+}
+
 fn listed_members(update: xds::Update) -> Message {
     Message::Members { full: true, members: update.members }
 }
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,24 +1,29 @@
 //! Client connections, whatever front they belong to: requests read, answers written. It decides nothing.
 
+use crate::log;
 use super::http::{self, BadRequest, Head, Response};
-use crate::core::{Answer, Ask, Core};
+use crate::core::{Answer, Ask, Cause, Core};
 use bytes::{Buf, Bytes, BytesMut};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Bytes read ahead of a request in hand; a client that sends more waits.
 const READ_AHEAD: usize = 64 * 1024;
 /// A connection without a request is closed after this; clients close theirs after 4 s.
-const IDLE: Duration = Duration::from_secs(15);
-/// A request that has begun must have come whole by then.
-const WHOLE_REQUEST: Duration = Duration::from_secs(10);
+const IDLE: Duration = Duration::from_secs(6);
+/// A request must have come whole by then, counted from its first byte, or from the start of a connection
+/// that has not asked yet: who says nothing, or never comes to an end, is owed a close within 3 s.
+const WHOLE_REQUEST: Duration = Duration::from_secs(2);
+/// A new connection is left alone for so long, for its first request is on the way.
+const NEW: Duration = Duration::from_millis(100);
 /// An answer must be taken by then.
 const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 
@@ -40,9 +45,8 @@
 pub struct Shared {
     /// Where requests go.
     pub core: Core,
-    /// One for each client connection that may be open at a time, of all fronts together; beyond that
-    /// clients wait to be accepted.
-    pub places: Arc<Semaphore>,
+    /// The client connections that may be open at a time, of all fronts together.
+    pub places: Rc<Places>,
     /// Told when the program is to end.
     pub closing: watch::Receiver<bool>,
     /// Requests that are taken and not answered.
@@ -53,32 +57,126 @@
 pub async fn listen<F: Front>(address: &str, shared: Shared, front: F) -> Result<JoinHandle<()>, String> {
     let listener = TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen on {address}: {e}"))?;
-    eprintln!("foxhold: {} on {address}", F::NAME);
+    log!("foxhold: {} on {address}", F::NAME);
     Ok(tokio::task::spawn_local(accept(listener, shared, front)))
 }
 
-/// Accepts connections from a listener.
+/// Accepts connections from a listener. It waits for no place: where connections come and say nothing, others
+/// would wait behind them.
 pub async fn accept<F: Front>(listener: TcpListener, shared: Shared, front: F) {
     let (places, shared) = (shared.places.clone(), Rc::new((shared, front)));
     loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(place) = places.enter() else {
+                    let (wait, cause) = (Some(Duration::from_millis(500)), Cause::Busy);
+                    turn_away(stream, &shared.1.word(Answer::Refused { wait, cause }));
+                    continue;
+                };
                 let shared = shared.clone();
                 tokio::task::spawn_local(async move {
-                    serve(stream, &shared.0, &shared.1).await;
-                    drop(place);
+                    serve(stream, &place, &shared.0, &shared.1).await;
                 });
             }
             Err(error) => {
                 // Out of descriptors, most likely: others have to end first.
-                eprintln!("clients: accept: {error}");
+                log!("clients: accept: {error}");
                 sleep(Duration::from_millis(20)).await;
             }
         }
     }
 }
 
+/// Refuses a connection for which there is no place, without waiting for anything.
+fn turn_away(stream: TcpStream, response: &Response) {
+    let Ok(mut stream) = stream.into_std() else { return };
+    // Closing with unread bytes would reset the connection before the answer is read.
+    let _ = stream.read(&mut [0; 4096]);
+    let _ = stream.write(response.head(true).as_bytes());
+}
+
+/// The places of client connections. Beyond the usual number each that comes has another make room, if one
+/// waits for a request: first one that has been silent since it came, then the one that has been idle for
+/// longest. One with a request in hand never makes room, and there is a most that is never passed.
+#[derive(Debug)]
+pub struct Places {
+    usual: usize,
+    most: usize,
+    open: Cell<usize>,
+    /// Those that wait for a request, in the order in which they began to, by whether they ever had one.
+    waiting: RefCell<[BTreeMap<u64, Waiting>; 2]>,
+    next: Cell<u64>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    since: Instant,
+    leave: oneshot::Sender<()>,
+}
+
+/// A connection's place, given back when it is dropped.
+#[derive(Debug)]
+pub struct Place(Rc<Places>);
+
+/// A stay among those that wait.
+struct Stay<'a> {
+    place: &'a Place,
+    asked: bool,
+    number: u64,
+}
+
+impl Places {
+    /// Keeps to about so many connections, and never passes the most.
+    pub fn new(usual: usize, most: usize) -> Rc<Self> {
+        let (open, next) = (Cell::new(0), Cell::new(0));
+        Rc::new(Places { usual, most, open, waiting: RefCell::default(), next })
+    }
+
+    fn enter(self: &Rc<Self>) -> Option<Place> {
+        if self.open.get() >= self.usual {
+            self.make_room();
+        }
+        if self.open.get() >= self.most {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Place(self.clone()))
+    }
+
+    fn make_room(&self) {
+        let [new, idle] = &mut *self.waiting.borrow_mut();
+        let silent = new.first_key_value().is_some_and(|(_, w)| w.since.elapsed() >= NEW);
+        let first = if silent { new.pop_first() } else { None };
+        if let Some((_, waiting)) = first.or_else(|| idle.pop_first()).or_else(|| new.pop_first()) {
+            let _ = waiting.leave.send(()); // one that is ending makes room by itself
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+impl Place {
+    /// Lists the connection among those that wait for a request, until the stay is dropped; the receiver is
+    /// told when it is to make room.
+    fn wait(&self, asked: bool) -> (Stay<'_>, oneshot::Receiver<()>) {
+        let (leave, told) = oneshot::channel();
+        let number = self.0.next.replace(self.0.next.get() + 1);
+        let waiting = Waiting { since: Instant::now(), leave };
+        self.0.waiting.borrow_mut()[usize::from(asked)].insert(number, waiting);
+        (Stay { place: self, asked, number }, told)
+    }
+}
+
+impl Drop for Stay<'_> {
+    fn drop(&mut self) {
+        self.place.0.waiting.borrow_mut()[usize::from(self.asked)].remove(&self.number);
+    }
+}
+
 struct Counted(Rc<Cell<usize>>);
 
 impl Counted {
@@ -105,12 +203,15 @@
 }
 
 /// Serves one connection to its end.
-async fn serve<F: Front>(stream: TcpStream, shared: &Shared, front: &F) {
+async fn serve<F: Front>(stream: TcpStream, place: &Place, shared: &Shared, front: &F) {
     let _ = stream.set_nodelay(true);
     let buffer = BytesMut::with_capacity(2048);
+    let due = Some(Instant::now() + WHOLE_REQUEST);
     let (mut connection, mut closing) =
-        (Connection { stream, buffer, head: None, due: None }, shared.closing.clone());
+        (Connection { stream, buffer, head: None, due }, shared.closing.clone());
+    let mut asked = false;
     loop {
+        let (stay, told) = place.wait(asked);
         let request = tokio::select! {
             request = connection.next_request(front.largest_body()) => request,
             // One that has begun to come is taken, and answered before the program ends.
@@ -118,7 +219,14 @@
                 true => return,
                 false => continue,
             },
+            // Where a request crosses this, it is taken all the same.
+            Ok(()) = told => match asked && connection.has_come() {
+                true => continue,
+                false => return,
+            },
         };
+        drop(stay);
+        asked = true;
         let (head, body) = match request {
             Ok(Some(request)) => request,
             Ok(None) => return,
@@ -150,6 +258,11 @@
         self.buffer.is_empty() && self.head.is_none()
     }
 
+    /// Whether anything of a next request has come, be it unread.
+    fn has_come(&mut self) -> bool {
+        !self.idle() || matches!(self.stream.try_read_buf(&mut self.buffer), Ok(n) if n > 0)
+    }
+
     /// Reads the next request; none: the client closed the connection, left it idle or took too long. What
     /// has come so far stays when the future is dropped.
     async fn next_request(&mut self, largest_body: usize) -> Result<Option<(Head, Bytes)>, BadRequest> {
@@ -169,12 +282,13 @@
                 return Ok(Some((head, body)));
             }
             // Counted from a request's first byte, so that one that trickles in holds no place for ever.
-            let due = match self.idle() {
-                true => Instant::now() + IDLE,
-                false => *self.due.get_or_insert_with(|| Instant::now() + WHOLE_REQUEST),
+            let due = match (self.idle(), self.due) {
+                (true, None) => Instant::now() + IDLE,
+                _ => *self.due.get_or_insert_with(|| Instant::now() + WHOLE_REQUEST),
             };
             match timeout_at(due, self.stream.read_buf(&mut self.buffer)).await {
                 Ok(Ok(n)) if n > 0 => {}
+                Err(_) if !self.idle() => return Err(BadRequest::TooSlow),
                 _ => return Ok(None),
             }
         }
@@ -202,7 +316,14 @@
     async fn linger(&mut self) {
         let _ = self.stream.shutdown().await;
         let mut scrap = [0; 4096];
-        let drain = async { while matches!(self.stream.read(&mut scrap).await, Ok(n) if n > 0) {} };
+        // Bounded, for what follows a refusal may be many MB.
+        let drain = async {
+            for _ in 0..64 {
+                if !matches!(self.stream.read(&mut scrap).await, Ok(n) if n > 0) {
+                    return;
+                }
+            }
+        };
         let _ = timeout(Duration::from_millis(500), drain).await;
     }
 }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -9,7 +9,7 @@
 use crate::core::{Broken, Health, Listing, Message, Order, Peers, Reports, Ticket, Want};
 use crate::settings::Transport;
 use bytes::{Buf, BytesMut};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -27,8 +27,9 @@
 /// An answer this long awaited without a byte on its connection, when it is given up, shows that the
 /// connection may be dead: a machine that vanished leaves it open and silent, also after its successor came.
 const SILENCE: Duration = Duration::from_millis(1000);
-/// Ids that were given up, whose answers may still be on the way.
-const MOST_FORGOTTEN: usize = 4096;
+/// Ids that were given up, whose answers may still be on the way. A retry of one of these here comes soon, so
+/// that few are enough.
+const MOST_FORGOTTEN: usize = 64;
 
 /// Opens an actor for each server.
 #[derive(Clone, Debug)]
@@ -191,7 +192,7 @@
             open: HashMap::new(),
             probes: HashMap::new(),
             ids: HashMap::new(),
-            forgotten: HashSet::new(),
+            forgotten: VecDeque::new(),
             out: BytesMut::new(),
             queued: 0,
             written: 0,
@@ -225,7 +226,8 @@
     /// Probes that are out, by their tag.
     probes: HashMap<Arc<str>, u64>,
     ids: HashMap<Arc<str>, Ticket>,
-    forgotten: HashSet<Arc<str>>,
+    /// Ids that were given up here; the oldest leave first.
+    forgotten: VecDeque<Arc<str>>,
     out: BytesMut,
     /// Bytes ever put into the out buffer, and ever written.
     queued: u64,
@@ -281,9 +283,9 @@
             lines::write_forget(&open.id, &mut self.out);
             self.queued += (self.out.len() - from) as u64;
             if self.forgotten.len() >= MOST_FORGOTTEN {
-                self.forgotten.clear(); // an answer to one of these would end the connection, no more
+                self.forgotten.pop_front();
             }
-            self.forgotten.insert(open.id);
+            self.forgotten.push_back(open.id);
             let _ = self.actor.send(News::Done(self.number, ticket)).await;
         } else if self.queue.len() < before {
             let _ = self.actor.send(News::Done(self.number, ticket)).await;
@@ -364,15 +366,10 @@
                     self.last_read = used;
                     loop {
                         match reader.next(&mut buffer) {
-                            Ok(Some(message)) => {
-                                if let Err(error) = self.answer(message).await {
-                                    eprintln!("server {:?}: {error}", read.peer_addr());
-                                    return None;
-                                }
-                            }
+                            Ok(Some(message)) => self.answer(message).await,
                             Ok(None) => break,
                             Err(error) => {
-                                eprintln!("server {:?}: {error}", read.peer_addr());
+                                log!("server {:?}: {error}", read.peer_addr());
                                 return reader.answering().map(Into::into);
                             }
                         }
@@ -383,22 +380,23 @@
         }
     }
 
-    async fn answer(&mut self, message: lines::Message) -> Result<(), lines::BadLine> {
+    async fn answer(&mut self, message: lines::Message) {
         match message.content {
             Content::Probe(well, gauges) => {
-                let number = self.probes.remove(&message.id).ok_or(lines::BadLine("no such probe"))?;
-                self.reports.send(Message::Probed(number, Ok(Health { well, gauges }))).await;
+                if let Some(number) = self.probes.remove(&message.id) {
+                    self.reports.send(Message::Probed(number, Ok(Health { well, gauges }))).await;
+                }
             }
             Content::Reply(reply) => match self.ids.remove(&message.id) {
                 Some(ticket) => {
                     self.open.remove(&ticket);
                     self.report(ticket, Ok(reply)).await;
                 }
-                None if self.forgotten.remove(&message.id) => {}
-                None => return Err(lines::BadLine("an answer to nothing that was asked")),
+                // A second copy, the late answer to what was given up, or one to what was never asked: it was
+                // read whole, so that what follows it on the connection is as good as ever.
+                None => {}
             },
         }
-        Ok(())
     }
 
     /// No connection came up: nothing ran.
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -204,3 +204,53 @@
         assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
     });
 }
+
+/// Guards against connections that say nothing holding all places, while those who ask wait to be accepted.
+#[test]
+fn silent_connections_make_room_for_those_who_ask_and_are_closed_in_time() {
+    local(async {
+        let site = site(COPY).await;
+        let begun = Instant::now();
+        let mut silent = Vec::new();
+        for n in 0..300 {
+            silent.push(TcpStream::connect(&site.address).await.expect("a listener"));
+            if n % 50 == 49 {
+                let asked = Instant::now();
+                assert_eq!(send(&site.address, &get("7f3a9c21e0b4d655", "")).await.status, 200);
+                assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+            }
+        }
+        // Some ask once and stay: they make room as well.
+        for n in 0..300 {
+            let mut stays = TcpStream::connect(&site.address).await.expect("a listener");
+            let request = get(&format!("{n:016x}"), "").replace("Connection: close\r\n", "");
+            stays.write_all(request.as_bytes()).await.expect("a reader");
+            assert_eq!(stays.read(&mut [0; 12]).await.expect("an answer"), 12);
+            silent.push(stays);
+        }
+        for mut stream in silent.into_iter().take(300) {
+            let _ = stream.read(&mut [0; 1]).await; // closed or reset
+        }
+        assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+    });
+}
+
+/// Guards against a message that never ends, and against one that hides another in its body.
+#[test]
+fn what_has_no_clear_end_is_refused_and_the_connection_closed() {
+    local(async {
+        let site = site(COPY).await;
+        let hidden = get("7f3a9c21e0b4d655", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n");
+        let hidden = hidden.replace("Connection: close\r\n", "") + "0\r\n\r\n" + &get("aa", "");
+        let two = get("7f3a9c21e0b4d655", "Content-Length: 1\r\nContent-Length: 2\r\n");
+        let large = get("7f3a9c21e0b4d655", "Content-Length: 60000000\r\n");
+        let endless = "GET / HTTP/1.1\r\nX: ".to_owned() + &"x".repeat(20_000);
+        for (request, status) in [(hidden, 400), (two, 400), (large, 413), (endless, 431)] {
+            assert_eq!(send(&site.address, &request).await.status, status, "{request}");
+        }
+        let begun = Instant::now();
+        assert_eq!(send(&site.address, "GET /ops/videos/aa HTTP/1.1\r\nX-Job").await.status, 408);
+        assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
+        assert!(site.cache.wants().is_empty());
+    });
+}
