--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -479,7 +479,9 @@
             let (Some(zone), Some(kind)) = (zone, kind) else {
                 log!(
                     "list: {} is of zone {} and kind {}, not both known",
-                    listing.name, listing.zone, listing.kind
+                    listing.name,
+                    listing.zone,
+                    listing.kind
                 );
                 continue;
             };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,10 +50,12 @@
 
 /// Writes a line to the log, which is standard error. Guards against a log that nobody reads any more:
 /// `eprintln!` panics then, and would take the task that only wanted to say something with it.
+#[doc(hidden)]
 #[macro_export]
 macro_rules! log {
     ($($line:tt)*) => {{
-        let _ = ::std::io::Write::write_all(&mut ::std::io::stderr(), format!("{}\n", format_args!($($line)*)).as_bytes());
+        use ::std::io::Write as _;
+        let _ = ::std::io::stderr().write_all(format!("{}\n", format_args!($($line)*)).as_bytes());
     }};
 }
 
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,6 +1,5 @@
 //! Client connections, whatever front they belong to: requests read, answers written. It decides nothing.
 
-use crate::log;
 use super::http::{self, BadRequest, Head, Response};
 use crate::core::{Answer, Ask, Cause, Core};
 use bytes::{Buf, Bytes, BytesMut};
