--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -387,15 +387,14 @@
                     self.reports.send(Message::Probed(number, Ok(Health { well, gauges }))).await;
                 }
             }
-            Content::Reply(reply) => match self.ids.remove(&message.id) {
-                Some(ticket) => {
+            // Where nothing is open under the id it is a second copy, the late answer to what was given up, or
+            // one to what was never asked. It was read whole, so what follows it is as good as ever.
+            Content::Reply(reply) => {
+                if let Some(ticket) = self.ids.remove(&message.id) {
                     self.open.remove(&ticket);
                     self.report(ticket, Ok(reply)).await;
                 }
-                // A second copy, the late answer to what was given up, or one to what was never asked: it was
-                // read whole, so that what follows it on the connection is as good as ever.
-                None => {}
-            },
+            }
         }
     }
 
