--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -123,6 +123,11 @@
         self.head.as_ref().map(|h| &*h.id)
     }
 
+    /// Whether an answer has begun that has not come whole.
+    pub fn begun(&self, buffer: &BytesMut) -> bool {
+        self.head.is_some() || !buffer.is_empty()
+    }
+
     /// Takes the next whole answer off the buffer, if there is one.
     pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Message>, BadLine> {
         if self.head.is_none() {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -22,11 +22,25 @@
 const MAILBOX: usize = 512;
 /// Connections to one server at a time, so that all servers together fit the descriptor limit.
 const MOST_CONNECTIONS: usize = 8;
+/// Attempts that a connection carries before a further one is opened: an answer that can't be read costs all of
+/// them. Where no further one can be had, they share as far as the settings allow.
+const FEW: usize = 4;
+/// An answer that has begun goes on within this: servers write it at once. Else it was cut short, and what
+/// would follow it on the connection never comes.
+const STALL: Duration = Duration::from_millis(300);
+/// A connection without a byte for this long, while something is open on it, is asked for a sign of life,
+const QUIET: Duration = Duration::from_millis(500);
+/// gets nothing new if none has come by then,
+const DOUBTFUL: Duration = Duration::from_millis(150);
+/// and is dead if none has come by then.
+const DEAD: Duration = Duration::from_millis(900);
 /// Bytes that wait to be written; further requests stay queued, where they can still be called off.
 const OUT_BUFFER: usize = 64 * 1024;
 /// An answer this long awaited without a byte on its connection, when it is given up, shows that the
 /// connection may be dead: a machine that vanished leaves it open and silent, also after its successor came.
 const SILENCE: Duration = Duration::from_millis(1000);
+/// The tag of a probe that asks for a sign of life.
+const SIGN: &str = "alive";
 /// Ids that were given up, whose answers may still be on the way. A retry of one of these here comes soon, so
 /// that few are enough.
 const MOST_FORGOTTEN: usize = 64;
@@ -160,15 +174,17 @@
         }
     }
 
-    /// The connection for an attempt: the fullest that has room, so that others fall idle and close. Two
-    /// attempts of one id never share a connection, for their answers could not be told apart.
+    /// The connection for an attempt: the fullest that carries few, so that others fall idle and close; then a
+    /// new one; then the emptiest that has room. Two attempts of one id never share a connection, for their
+    /// answers could not be told apart.
     fn place(&mut self, want: &Want) -> Option<&mut Connection> {
         let streams = self.transport.streams;
         let fits =
             |c: &Connection| !c.suspect && c.open.len() < streams && c.open.values().all(|id| *id != want.id);
-        let found = self.connections.iter().enumerate().filter(|(_, c)| fits(c));
-        let best = found.max_by_key(|(_, c)| c.open.len()).map(|(n, _)| n);
-        let place = best.or_else(|| self.connect())?;
+        let found = || self.connections.iter().enumerate().filter(|(_, c)| fits(c));
+        let few = found().filter(|(_, c)| c.open.len() < FEW).max_by_key(|(_, c)| c.open.len());
+        let emptiest = found().min_by_key(|(_, c)| c.open.len()).map(|(n, _)| n);
+        let place = few.map(|(n, _)| n).or_else(|| self.connect()).or(emptiest)?;
         self.connections.get_mut(place)
     }
 
@@ -336,6 +352,8 @@
         // Ends before the server would end it, so that no request crosses the server's close.
         let idle = self.transport.idle.mul_f64(0.8);
         let (mut used, mut closed) = (Instant::now(), false);
+        // How far a silence has come: nothing, asked for a sign of life, doubtful.
+        let mut asked = 0;
         self.last_read = used;
         loop {
             self.fill().await;
@@ -343,7 +361,16 @@
             if free && closed {
                 return None;
             }
+            let (begun, since) = (reader.begun(&buffer), self.open.values().map(|o| o.since).min());
+            let quiet = since.map(|since| since.max(self.last_read));
+            let doubt = match quiet {
+                _ if begun => Some(self.last_read + STALL),
+                Some(quiet) => Some(quiet + [QUIET, QUIET + DOUBTFUL, QUIET + DEAD][asked]),
+                None => None,
+            };
             tokio::select! {
+                // In this order: what has come counts before any clock that it would have stopped.
+                biased;
                 order = orders.recv(), if !closed => match order {
                     Some(order) => {
                         used = Instant::now();
@@ -363,7 +390,7 @@
                         return reader.answering().map(Into::into);
                     }
                     used = Instant::now();
-                    self.last_read = used;
+                    (self.last_read, asked) = (used, 0);
                     loop {
                         match reader.next(&mut buffer) {
                             Ok(Some(message)) => self.answer(message).await,
@@ -375,6 +402,27 @@
                         }
                     }
                 }
+                () = sleep_until(doubt.unwrap_or(used)), if doubt.is_some() => match asked {
+                    _ if begun => {
+                        log!("server {:?}: an answer was cut short", read.peer_addr());
+                        return reader.answering().map(Into::into);
+                    }
+                    0 => {
+                        // No probe of the module's: whatever comes shows that the connection lives.
+                        let from = self.out.len();
+                        lines::write_probe(SIGN, &mut self.out);
+                        self.queued += (self.out.len() - from) as u64;
+                        asked = 1;
+                    }
+                    1 => {
+                        let _ = self.actor.send(News::Suspect(self.number)).await;
+                        asked = 2;
+                    }
+                    _ => {
+                        log!("server {:?}: silent", read.peer_addr());
+                        return None;
+                    }
+                },
                 () = sleep_until(used + idle), if free => return None,
             }
         }
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -202,3 +202,56 @@
         assert_eq!(server.connections.get(), 2);
     });
 }
+
+/// Guards against one answer that can't be read costing all that is under way at a server.
+#[test]
+fn attempts_are_spread_so_that_a_spoilt_answer_costs_few() {
+    local(async {
+        let server = Server::start(Manner::Silent).await;
+        let mut peer = Peer::open(&server.address, transport(), 9);
+        for attempt in 0..12 {
+            peer.want(attempt, &format!("a{attempt}"), Vec::new()).await;
+        }
+        sent(&server, 12).await;
+        assert_eq!(server.connections.get(), 3);
+        *server.manner.borrow_mut() = Manner::Says("ID ACK - 4\r\nmore than four\r\n");
+        peer.want(12, "a12", Vec::new()).await;
+        let (attempt, end) = peer.end().await;
+        assert_eq!((attempt, end.expect_err("a spoilt answer")), (12, Broken::Answering));
+    });
+}
+
+/// Guards against waiting, up to the deadline, behind an answer that was cut short on a connection that stays.
+#[test]
+fn an_answer_that_stops_short_ends_all_that_is_open_on_its_connection() {
+    local(async {
+        let server = Server::start(Manner::Silent).await;
+        let mut peer = Peer::open(&server.address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        sent(&server, 1).await;
+        *server.manner.borrow_mut() = Manner::Stalls;
+        let begun = Instant::now();
+        peer.want(1, "b", Vec::new()).await;
+        let mut ends = [peer.end().await, peer.end().await].map(|(n, end)| (n, end.expect_err("no answer")));
+        ends.sort_by_key(|(n, _)| *n);
+        assert_eq!(ends, [(0, Broken::Written), (1, Broken::Answering)]);
+        assert!(begun.elapsed() < Duration::from_millis(600), "{:?}", begun.elapsed());
+    });
+}
+
+/// Guards against a connection that stays open and silent, and against taking a slow answer for one.
+#[test]
+fn a_silent_connection_is_ended_unless_it_gives_a_sign_of_life() {
+    local(async {
+        let server = Server::start(Manner::Silent).await;
+        let mut peer = Peer::open(&server.address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        assert_eq!(peer.broken().await, Broken::Written);
+        let slow = Server::start(Manner::Says("")).await;
+        let mut peer = Peer::open(&slow.address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        let waited = tokio::time::timeout(Duration::from_millis(2000), peer.end()).await;
+        assert!(waited.is_err(), "{waited:?}");
+        assert_eq!(slow.wants().len(), 1);
+    });
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -25,6 +25,8 @@
     Closes,
     /// Begins an answer and closes the connection.
     BreaksOff,
+    /// Begins an answer and stays.
+    Stalls,
 }
 
 /// A server that listens on loopback and notes what it was sent.
@@ -69,6 +71,12 @@
             let line = line.trim_end().to_owned();
             let words: Vec<String> = line.split(' ').map(str::to_owned).collect();
             lines.borrow_mut().push(line);
+            if words[0] == "busy" && !matches!(*manner.borrow(), Manner::Silent | Manner::Stalls) {
+                stream
+                    .write_all(format!("{} READY - 0\r\n\r\n", words[1]).as_bytes())
+                    .await
+                    .expect("a reader");
+            }
             if words[0] != "want" {
                 continue;
             }
@@ -82,10 +90,12 @@
                 }
                 Manner::Silent => {}
                 Manner::Closes => return,
-                Manner::BreaksOff => {
+                Manner::BreaksOff | Manner::Stalls => {
                     let begun = format!("{} ACK - 10\r\nhalf", words[1]);
                     stream.write_all(begun.as_bytes()).await.expect("a reader");
-                    return;
+                    if matches!(manner, Manner::BreaksOff) {
+                        return;
+                    }
                 }
             }
         }
