--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,7 +4,7 @@
 use crate::api::*;
 use crate::Router;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use tokio::time::sleep_until;
 
 /// The answer leaves this much before the client gives up: it has a way to go, as the request had.
@@ -76,6 +76,8 @@
     servers: HashMap<ServerId, Server>,
     names: HashMap<Arc<str>, ServerId>,
     live: HashMap<u64, Live>,
+    /// The ids of these, as servers are given them.
+    ids: HashSet<Arc<str>>,
     attempts: HashMap<Ticket, Out>,
     probes: HashMap<u64, (ServerId, Micros)>,
     next_probe: u64,
@@ -113,6 +115,7 @@
         servers: HashMap::new(),
         names: HashMap::new(),
         live: HashMap::new(),
+        ids: HashSet::new(),
         attempts: HashMap::new(),
         probes: HashMap::new(),
         next_probe: 0,
@@ -242,6 +245,12 @@
             let _ = reply.send(Answer::Refused { wait, cause });
             return;
         }
+        // Guards the first of two with one id: servers would take the second for it, or give either the
+        // other's answer.
+        if !self.ids.insert(ask.id.clone()) {
+            let _ = reply.send(Answer::Failed(Cause::Duplicate));
+            return;
+        }
         let live =
             Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0, failed: false };
         self.live.insert(number, live);
@@ -306,7 +315,9 @@
 
     fn tidy(&mut self, number: u64) {
         if self.live.get(&number).is_some_and(|l| l.reply.is_none() && l.out == 0) {
-            self.live.remove(&number);
+            if let Some(live) = self.live.remove(&number) {
+                self.ids.remove(&live.ask.id);
+            }
         }
     }
 
@@ -381,6 +392,8 @@
         }
         let outcome = match &end {
             Ok(reply) => match reply.verdict {
+                // Nothing is unchanged for a client that has nothing: such an answer is spoilt.
+                Verdict::Unchanged(_) if !self.knows(ticket.request) => Outcome::Failed,
                 Verdict::Copy(_) | Verdict::Unchanged(_) => Outcome::Ok,
                 Verdict::Miss => Outcome::Miss,
                 Verdict::Full => Outcome::Full,
@@ -396,6 +409,11 @@
         self.finish(ticket, outcome, end.ok());
     }
 
+    /// Whether the client has a copy of its own.
+    fn knows(&self, number: u64) -> bool {
+        self.live.get(&number).is_some_and(|l| l.ask.known.is_some())
+    }
+
     /// Ends an attempt; the first end counts and any later one finds it gone. Guards against a peer that
     /// reports after a time-out or a cancellation, or not at all.
     fn finish(&mut self, ticket: Ticket, outcome: Outcome, reply: Option<Reply>) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -75,6 +75,8 @@
     Upstream,
     /// The client's credential expired while the request waited.
     Expired,
+    /// A request with the same id is held already.
+    Duplicate,
 }
 
 /// The one final answer to an [`Ask`].
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -10,6 +10,11 @@
 /// The largest body of a write.
 pub const LARGEST_WRITE: usize = 48_000;
 
+/// The longest that a client may wait, in milliseconds, and the largest size that it may tell, in KB: what
+/// lies beyond is no figure of a client's.
+const LONGEST_ALLOW: f64 = 3_600_000.0;
+const LARGEST_KB: f64 = 1e9;
+
 /// The platform's own protocol.
 pub struct Platform(
     /// Where requests go.
@@ -33,27 +38,36 @@
         if head.method != method {
             return Err(Response::empty(405).with("Allow", method.into()));
         }
-        if !is_name(object) {
+        // What a server can't use would cost an attempt, and what it can't read the connection and all on it.
+        if !is_hex(object) || !facts.write && !body.is_empty() {
             return Err(bad());
         }
+        let digits = |n: &str| n.parse().ok().filter(|_| n.bytes().all(|b| b.is_ascii_digit()));
         let part = match query {
             "" => None,
-            _ => Some(query.strip_prefix("block=").and_then(|n| n.parse().ok()).ok_or_else(bad)?),
+            _ => Some(query.strip_prefix("block=").and_then(digits).ok_or_else(bad)?),
         };
-        let id = head.header("x-job-id").filter(|id| is_name(id)).ok_or_else(bad)?;
-        let number = |name: &str| match head.header(name) {
+        let id = head.only("x-job-id").filter(|id| is_hex(id)).ok_or_else(bad)?;
+        let number = |name: &str, least: f64, most: f64| match head.header(name) {
             None => Ok(None),
-            Some(text) => text.parse::<f64>().ok().filter(|n| *n >= 0.0).map(Some).ok_or_else(bad),
+            Some(text) => {
+                let number = text.parse::<f64>().ok().filter(|n| (least..=most).contains(n));
+                number.map(Some).ok_or_else(bad)
+            }
         };
-        let allow = number("x-allow-ms")?.map_or(facts.deadline as f64 / 1e3, |ms| ms.min(3_600_000.0));
+        let family = number("x-family", 0.0, 255.0)?;
+        if family.is_some_and(|n| n.fract() != 0.0) {
+            return Err(bad());
+        }
+        let allow = number("x-allow-ms", 0.0, LONGEST_ALLOW)?.unwrap_or(facts.deadline as f64 / 1e3);
         let known = head.header("if-none-match").map(bare_tag).filter(|tag| is_name(tag));
         Ok(Ask {
             id: id.into(),
             class,
             object: object.into(),
             part,
-            group: number("x-family")?.map(|n| n as u32),
-            size_kb: number("x-ram-kb")?.unwrap_or(0.0),
+            group: family.map(|n| n as u32),
+            size_kb: number("x-ram-kb", 0.0, LARGEST_KB)?.unwrap_or(0.0),
             repeat: head.header("x-again").is_some_and(|v| v != "0"),
             allow: Duration::from_secs_f64(allow / 1e3),
             known: known.map(Into::into),
@@ -79,11 +93,17 @@
             }
             Answer::Refused { wait: None, .. } => Response::empty(503),
             Answer::Failed(Cause::Deadline) => Response::empty(504),
+            Answer::Failed(Cause::Duplicate) => Response::empty(409),
             Answer::Failed(_) => Response::empty(502),
         }
     }
 }
 
+/// Ids and objects are 16 hex digits on the platform.
+fn is_hex(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
 /// An entity tag without its quotes and weakness.
 pub(crate) fn bare_tag(tag: &str) -> &str {
     let tag = tag.strip_prefix("W/").unwrap_or(tag);
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -22,8 +22,8 @@
 const MAILBOX: usize = 512;
 /// Connections to one server at a time, so that all servers together fit the descriptor limit.
 const MOST_CONNECTIONS: usize = 8;
-/// Attempts that a connection carries before a further one is opened: an answer that can't be read costs all of
-/// them. Where no further one can be had, they share as far as the settings allow.
+/// Attempts that a connection carries before a further one is opened: an answer that can't be read costs all
+/// of them. Where no further one can be had, they share as far as the settings allow.
 const FEW: usize = 4;
 /// An answer that has begun goes on within this: servers write it at once. Else it was cut short, and what
 /// would follow it on the connection never comes.
@@ -174,8 +174,8 @@
         }
     }
 
-    /// The connection for an attempt: the fullest that carries few, so that others fall idle and close; then a
-    /// new one; then the emptiest that has room. Two attempts of one id never share a connection, for their
+    /// The connection for an attempt: the fullest that carries few, so that others fall idle and close; then
+    /// a new one; then the emptiest that has room. Two attempts of one id never share a connection, for their
     /// answers could not be told apart.
     fn place(&mut self, want: &Want) -> Option<&mut Connection> {
         let streams = self.transport.streams;
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -221,7 +221,7 @@
     });
 }
 
-/// Guards against waiting, up to the deadline, behind an answer that was cut short on a connection that stays.
+/// Guards against waiting, up to the deadline, behind an answer cut short on a connection that stays.
 #[test]
 fn an_answer_that_stops_short_ends_all_that_is_open_on_its_connection() {
     local(async {
