Send what its first cache has no time for to the next in its hash that has

A trace of give-ups: no attempt made, budget full, nobody suspected, windows wide; one cache, home of more than its part, stood at 2 to 3.7. Fault: choose() asked too_slow() of the first cache alone, while SHED speaks of every cache. Ruled out: restarts and new configurations (refusals came before the first of them), cold budgets and suspicion (none in those seconds). Now: pick_cache takes the first in hash order that has time; where none has, the request is refused as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -644,11 +644,13 @@
         });
         match usable[..] {
             [first, second, ..] if held.hot >= HOT_SHARE && self.load(second) < self.load(first) => {
-                Some(second)
+                usable.swap(0, 1);
             }
-            [first, ..] => Some(first),
-            [] => None,
+            _ => {}
         }
+        // Guards against refusing while one cache has more than its part and others have room.
+        let in_time = |id: &ServerId| !held.attempts.is_empty() || !self.too_slow(now, held, *id);
+        usable.iter().copied().find(in_time).or(usable.first().copied())
     }
 
     /// Our transfers under way at a cache over its link, as if the zone's other gateways sent as much.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -409,3 +409,28 @@
     assert!((11..=13).contains(&fill.source.0));
     assert!(refused(&at_once(&mut g, &sent, 0, Outcome::Miss)));
 }
+
+/// Guards against refusing what its first cache has no time for while others of the zone have room.
+#[test]
+fn what_its_first_cache_has_no_time_for_goes_to_the_next_that_has() {
+    let mut g = Gateway::usual();
+    let home = |g: &mut Gateway, object| {
+        let sent = g.send(object);
+        g.end(&sent, 0, Outcome::Ok, Note::Hit);
+        sent.server
+    };
+    let objects: Vec<u64> = (40_000..).filter(|o| home(&mut g, *o) == ServerId(1)).take(40).collect();
+    let mut loads = std::collections::BTreeMap::new();
+    for object in objects {
+        let request = Request { size_kb: 300.0, ..g.request(0, object) };
+        let sent = sent(&g.event(Event::Request(request)));
+        *loads.entry(sent.first().expect("room at some cache").server).or_insert(0) += 1;
+    }
+    assert!(loads[&ServerId(1)] >= 20 && loads.len() > 1, "{loads:?}");
+    // And it is refused once none has.
+    let refusals = (0..60).filter(|n| {
+        let request = Request { size_kb: 300.0, ..g.request(0, 50_000 + n) };
+        refused(&g.event(Event::Request(request)))
+    });
+    assert!(refusals.count() > 0);
+}
