Refuse short waits only where a cache is crowded or the bytes can't be sent

Ruled out: overload, cold servers (none listed), the socket side (first attempts left within 0.2 ms). Now: at a cache under load 1 only what can't be sent within the time left is turned away.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -814,9 +814,14 @@
 
     /// Whether an answer from this cache would come too late to be of much worth, by what we have there.
     fn too_slow(&self, now: Micros, held: &Held, cache: ServerId) -> bool {
-        let pace = &self.paces[held.request.class];
-        let predicted = pace.extra.min(held.work) + held.work * self.load(cache).max(1.0);
-        predicted > SHED * held.aim.saturating_sub(now) as f64
+        let (pace, load) = (&self.paces[held.request.class], self.load(cache));
+        let left = held.aim.saturating_sub(now) as f64;
+        // Guards against refusing clients that wait less than usual while nothing is crowded: a refusal
+        // spares nobody then, so that only what can't be sent in time is turned away.
+        if load <= 1.0 {
+            return held.work > left;
+        }
+        pace.extra.min(held.work) + held.work * load > SHED * left
     }
 
     /// A further attempt beside or after the earlier ones, within the budget.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -434,3 +434,15 @@
     });
     assert!(refusals.count() > 0);
 }
+
+/// Guards against refusing clients that wait less than usual though nothing is crowded.
+#[test]
+fn a_short_wait_is_refused_only_where_the_bytes_can_t_be_sent_within_it() {
+    let mut g = Gateway::usual();
+    let until = g.now + 55_000;
+    let enough = g.request_until(60_000, until);
+    assert_eq!(sent(&g.event(Event::Request(enough))).len(), 1);
+    let until = g.now + 45_000;
+    let short = g.request_until(60_001, until);
+    assert!(refused(&g.event(Event::Request(short))));
+}
