Take settings over at SIGHUP, answer operators, serve an inherited socket

Requests of new classes met Platform::read's 404, for classes were fixed at the start. Ruled out: the follower's numbers, the purge path. At fault: config.rs parse(), mod.rs take_over(), Core::settings as a fixed Arc, serve::listen's bind. Now: a file is turned down whole unless deadlines and attempts are above 0 and it has every key of the one in force; classes are taken over by places, open requests keep theirs and their number of attempts; 'check' and 'vars' at 'ops'; ROUTER_FD names the clients' socket, and at SIGTERM such a process stops accepting and ends connections with their next answer.

--- a/src/api.rs
+++ b/src/api.rs
@@ -73,6 +73,8 @@
     pub stale_share: f64,
     /// Runs at the origin and is never kept.
     pub write: bool,
+    /// No longer configured: only requests that came before have it.
+    pub retired: bool,
 }
 
 /// Which caches may be the source of another cache's fill.
@@ -175,6 +177,41 @@
     pub purge_done: Micros,
 }
 
+impl Settings {
+    /// The place of a class that is configured now.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|c| !c.retired && c.name == name)
+    }
+
+    /// Takes later settings over. Open requests name their class by its place and keep its rules: a class
+    /// that stayed as it was keeps its place, one with other rules gets a new one, and those not configured
+    /// any more are retired. A retired place that no request has any more is used again, so that the table
+    /// stays small.
+    pub fn renewed(&self, mut later: Settings, in_use: impl Fn(usize) -> bool) -> Settings {
+        let mut classes: Vec<Class> =
+            self.classes.iter().map(|c| Class { retired: true, ..c.clone() }).collect();
+        let mut fresh = Vec::new();
+        for class in std::mem::take(&mut later.classes) {
+            match classes.iter_mut().find(|c| c.retired && Class { retired: false, ..(*c).clone() } == class)
+            {
+                Some(kept) => *kept = class,
+                None => fresh.push(class),
+            }
+        }
+        for class in fresh {
+            // Its class was retired by an earlier change: a request read just before this one still has its
+            // own.
+            let free = |i: &usize| self.classes[*i].retired && classes[*i].retired && !in_use(*i);
+            match (0..self.classes.len()).find(free) {
+                Some(place) => classes[place] = class,
+                None => classes.push(class),
+            }
+        }
+        later.classes = classes;
+        later
+    }
+}
+
 /// Why settings were turned down.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub String);
@@ -376,6 +413,9 @@
         /// The bytes.
         bytes: Vec<u8>,
     },
+    /// Other settings from now on, for requests to come; those that are open keep the old ones. Classes keep
+    /// their places, see [`Settings::renewed`]; zones and kinds stay as they were.
+    Settings(Box<Settings>),
     /// Copies older than this purge must not be served.
     Purged {
         /// One object, or all of the group.
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,7 +4,7 @@
 use crate::api::*;
 use crate::Router;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use tokio::time::sleep_until;
 
 /// The answer leaves this much before the client gives up: it has a way to go, as the request had.
@@ -70,6 +70,11 @@
     router: Router,
     settings: Arc<Settings>,
     classes: Vec<Arc<str>>,
+    /// Tells fronts of other settings.
+    published: watch::Sender<Arc<Settings>>,
+    counts: BTreeMap<Arc<str>, ClassCounts>,
+    /// Attempts written whole.
+    written: u64,
     clock: Clock,
     peers: P,
     reports: Reports,
@@ -105,10 +110,14 @@
     let router = Router::new(settings.clone(), seed)?;
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
     let settings = Arc::new(settings);
+    let (published, told) = watch::channel(settings.clone());
     let mut actor = Actor {
         router,
         classes: settings.classes.iter().map(|c| c.name.as_str().into()).collect(),
-        settings: settings.clone(),
+        published,
+        counts: BTreeMap::new(),
+        written: 0,
+        settings,
         clock,
         peers,
         reports: Reports(mailbox.clone()),
@@ -127,7 +136,7 @@
         actor.take(message);
     }
     let task = tokio::task::spawn_local(actor.run(inbox));
-    Ok(Running { core: Core { mailbox, next: Arc::new(AtomicU64::new(1)), seed, settings }, task })
+    Ok(Running { core: Core { mailbox, next: Arc::new(AtomicU64::new(1)), seed, settings: told }, task })
 }
 
 impl<P: Peers> Actor<P> {
@@ -151,6 +160,11 @@
             Message::Ended(ticket, end) => self.ended(ticket, end),
             Message::Probed(number, result) => self.probed(number, result),
             Message::Members { full, members } => self.members(full, members),
+            Message::Written => self.written += 1,
+            Message::Settings(settings) => self.renew(*settings),
+            Message::Figures(reply) => {
+                let _ = reply.send(self.figures()); // who has gone wants none
+            }
             Message::Purged { object, group, at } => {
                 let age = self.clock.unix().saturating_sub(at);
                 let object = object.map(|o| ObjectId(object_number(&o)));
@@ -160,6 +174,50 @@
         self.decide();
     }
 
+    // ---- settings and figures ----
+
+    /// Takes other settings over. What the list is read by stays as it was, for members were placed by it.
+    fn renew(&mut self, later: Settings) {
+        let old = self.settings.clone();
+        let in_use = |place: usize| self.live.values().any(|l| l.ask.class == place);
+        let settings = Settings {
+            zones: old.zones.clone(),
+            zone: old.zone,
+            kinds: old.kinds.clone(),
+            parent_kind: old.parent_kind,
+            origin_kind: old.origin_kind,
+            ..old.renewed(later, in_use)
+        };
+        self.classes = settings.classes.iter().map(|c| c.name.as_str().into()).collect();
+        // The counts of a class end with the last of its places, so that these stay few too.
+        let classes = &self.classes;
+        self.counts.retain(|name, _| classes.contains(name));
+        self.settings = Arc::new(settings.clone());
+        self.published.send_replace(self.settings.clone());
+        self.events.push_back(Event::Settings(Box::new(settings)));
+    }
+
+    /// Gives an answer and counts it.
+    fn reply(&mut self, class: usize, reply: oneshot::Sender<Answer>, answer: Answer) {
+        let counts = self.counts.entry(self.classes[class].clone()).or_default();
+        match answer {
+            Answer::Served(_) | Answer::Unchanged(_) => counts.served += 1,
+            Answer::Refused { .. } => counts.refused += 1,
+            Answer::Failed(_) => counts.failed += 1,
+        }
+        let _ = reply.send(answer); // a client that has left wants none
+    }
+
+    fn figures(&self) -> Figures {
+        let configured = self.settings.classes.iter().zip(&self.classes).filter(|(c, _)| !c.retired);
+        let mut requests = self.counts.clone();
+        for (_, name) in configured {
+            requests.entry(name.clone()).or_default();
+        }
+        let known = self.servers.values().filter(|s| !s.gone()).count();
+        Figures { requests, attempts: self.written, known, excluded: self.router.excluded() }
+    }
+
     /// Rings all alarms that are due.
     fn ring(&mut self) {
         let now = self.clock.now();
@@ -242,14 +300,12 @@
         if self.live.len() >= MOST_LIVE {
             // Full: turned away at once, which is harmless as nothing ran.
             let (wait, cause) = (Some(WHEN_FULL), Cause::Busy);
-            let _ = reply.send(Answer::Refused { wait, cause });
-            return;
+            return self.reply(ask.class, reply, Answer::Refused { wait, cause });
         }
         // Guards the first of two with one id: servers would take the second for it, or give either the
         // other's answer.
         if !self.ids.insert(ask.id.clone()) {
-            let _ = reply.send(Answer::Failed(Cause::Duplicate));
-            return;
+            return self.reply(ask.class, reply, Answer::Failed(Cause::Duplicate));
         }
         let live =
             Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0, failed: false };
@@ -298,8 +354,9 @@
     /// Answers a request that the module has not ended, or lets it go with its client, and tells the module.
     fn drop_request(&mut self, number: u64, answer: Option<Answer>) {
         let Some(live) = self.live.get_mut(&number) else { return };
+        let class = live.ask.class;
         if let (Some(reply), Some(answer)) = (live.reply.take(), answer) {
-            let _ = reply.send(answer);
+            self.reply(class, reply, answer);
         }
         self.events.push_back(Event::Left(RequestId(number)));
         self.tidy(number);
@@ -307,8 +364,9 @@
 
     /// Gives the one final answer; any later one finds the reply gone.
     fn answer(&mut self, number: u64, answer: Answer) {
-        if let Some(reply) = self.live.get_mut(&number).and_then(|l| l.reply.take()) {
-            let _ = reply.send(answer); // a client that has left wants none
+        let held = self.live.get_mut(&number).and_then(|l| Some((l.ask.class, l.reply.take()?)));
+        if let Some((class, reply)) = held {
+            self.reply(class, reply, answer);
         }
         self.tidy(number);
     }
@@ -437,8 +495,11 @@
             Some(Verdict::Unchanged(tag)) => Some(Answer::Unchanged(tag)),
             _ => None,
         };
-        if let (Some(answer), Some(reply)) = (answer, live.reply.take_if(|_| outcome == Outcome::Ok)) {
-            let _ = reply.send(answer);
+        let class = live.ask.class;
+        let given = answer.zip(live.reply.take_if(|_| outcome == Outcome::Ok));
+        let over = live.reply.is_none();
+        if let Some((answer, reply)) = given {
+            self.reply(class, reply, answer);
         }
         self.events.push_back(Event::Ended(AttemptEnd {
             request: RequestId(ticket.request),
@@ -446,7 +507,7 @@
             server: out.server,
             outcome,
             took: self.clock.now().saturating_sub(out.sent),
-            over: live.reply.is_none(),
+            over,
             note,
             waited,
             report,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,13 +12,14 @@
 
 use crate::api::{MemberState, Micros, Note, ServerId, Settings};
 use bytes::Bytes;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 /// Messages that wait for the actor; who finds the mailbox full is told at the place of sending.
@@ -269,6 +270,12 @@
         /// The entries.
         members: Vec<Listing>,
     },
+    /// An attempt was written whole.
+    Written,
+    /// Other settings, for requests to come.
+    Settings(Box<Settings>),
+    /// Asks for the figures.
+    Figures(oneshot::Sender<Figures>),
     /// Copies older than this are not to be served.
     Purged {
         /// One object, or all of the group.
@@ -280,6 +287,30 @@
     },
 }
 
+/// What is counted of one class since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Requests served, the client's own copy included.
+    pub served: u64,
+    /// Requests turned away.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+}
+
+/// What the core tells of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// By the name of the class.
+    pub requests: BTreeMap<Arc<str>, ClassCounts>,
+    /// Attempts written whole to servers since the start.
+    pub attempts: u64,
+    /// Servers in the list.
+    pub known: usize,
+    /// Those of them to which nothing goes now.
+    pub excluded: usize,
+}
+
 /// Opens actors for servers.
 pub trait Peers {
     /// Starts the actor for one server and returns its mailbox; it ends once that is dropped.
@@ -309,18 +340,20 @@
     mailbox: mpsc::Sender<Message>,
     next: Arc<AtomicU64>,
     seed: u64,
-    settings: Arc<Settings>,
+    settings: watch::Receiver<Arc<Settings>>,
 }
 
 impl Core {
-    /// The facts that the director was told at its start.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
+    /// The facts that the director goes by at present.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.borrow().clone()
     }
 
-    /// The place of a class by its name.
-    pub fn class(&self, name: &str) -> Option<usize> {
-        self.settings.classes.iter().position(|c| c.name == name)
+    /// The figures; none where the actor has ended.
+    pub async fn figures(&self) -> Option<Figures> {
+        let (reply, figures) = oneshot::channel();
+        self.mailbox.send(Message::Figures(reply)).await.ok()?;
+        figures.await.ok()
     }
 
     /// An id for a request that came without one: 16 hex digits, each time others.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -286,6 +286,8 @@
     aim: Micros,
     hot: f64,
     asked: u32,
+    /// Most attempts, by the settings of its start.
+    most: u32,
     over: bool,
     started: bool,
 }
@@ -347,10 +349,28 @@
                 self.purges.push(Purge { object, group, at, until });
             }
             Event::Probed { server, outcome, .. } => self.probed(now, server, outcome, out),
+            Event::Settings(settings) => {
+                let old = std::mem::replace(&mut self.settings, *settings);
+                for (n, class) in self.settings.classes.iter().enumerate() {
+                    let fresh = Pace { work: FIRST_WORK, ..Pace::default() };
+                    match self.paces.get_mut(n) {
+                        Some(pace) if old.classes[n].name != class.name => *pace = fresh,
+                        Some(_) => {}
+                        None => self.paces.push(fresh),
+                    }
+                }
+            }
             Event::Message { .. } => {}
         }
     }
 
+    /// Listed servers to which nothing goes now: those that drain, and those suspected.
+    pub fn excluded(&self) -> usize {
+        let out =
+            |s: &&Server| s.member.state == MemberState::Draining || s.running() && s.trial_at.is_some();
+        self.servers.values().filter(out).count()
+    }
+
     fn draw(&mut self) -> u64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         mix(self.random, 0)
@@ -545,7 +565,7 @@
         if !self.settings.second_copies && held.attempts.iter().any(|a| a.out) {
             return false;
         }
-        if self.settings.max_attempts > 0 && held.attempts.len() >= self.settings.max_attempts as usize {
+        if held.most > 0 && held.attempts.len() >= held.most as usize {
             return false;
         }
         let mut ran = held.attempts.iter().filter(|a| a.may_have_run);
@@ -616,7 +636,8 @@
         let aim = now.saturating_add(aim).saturating_add((stretch * work) as Micros).min(request.deadline);
         self.extra = (self.extra + EXTRA_EARN + self.lost).min(EXTRA_SAVED);
         let (id, deadline) = (request.id, request.deadline);
-        let held = Held { request, work, aim, hot, asked, ..Held::default() };
+        let most = self.settings.max_attempts;
+        let held = Held { request, work, aim, hot, asked, most, ..Held::default() };
         self.held.insert(id, held);
         if deadline.saturating_sub(now) <= TOO_LATE || !self.send(now, id, out) {
             self.give_up(id, out);
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 //! reads the configuration anew.
 
 use foxhold::net::{self, config::Config, signed::FrontFile};
+use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -21,6 +22,7 @@
 }
 
 fn start() -> Result<(), String> {
+    let inherited = inherited()?;
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG does not name a configuration")?;
     let path = PathBuf::from(path);
     let config = Config::read(&path)?;
@@ -38,23 +40,28 @@
         let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let (to_director, configs) = mpsc::channel(1);
         tokio::task::spawn_local(reload(path, hangup, to_director));
-        net::run(config, second, configs, async move {
+        net::run(config, second, inherited, configs, async move {
             term.recv().await;
         })
         .await
     })
 }
 
-/// Reads the configuration at each SIGHUP; one that can't be used is logged, and the one before stays. Those
-/// signals that come while one is under way count as one more.
-async fn reload(path: PathBuf, mut hangup: Signal, configs: mpsc::Sender<Config>) {
+/// The listening socket that whoever started the program holds for it, by the number in `ROUTER_FD`.
+fn inherited() -> Result<Option<std::net::TcpListener>, String> {
+    let Some(number) = std::env::var_os("ROUTER_FD") else { return Ok(None) };
+    let number = number.to_str().and_then(|n| n.parse::<RawFd>().ok()).filter(|n| *n > 2);
+    let number = number.ok_or("ROUTER_FD is not the number of a descriptor")?;
+    // SAFETY: called once, before anything else is opened; the number belongs to this process by the
+    // platform's word, and nothing else here goes by it. A wrong one shows at the first use of the socket, as
+    // an error.
+    let socket = unsafe { OwnedFd::from_raw_fd(number) };
+    Ok(Some(socket.into()))
+}
+
+/// Reads the configuration at each SIGHUP. Those signals that come while one is under way count as one more.
+async fn reload(path: PathBuf, mut hangup: Signal, configs: mpsc::Sender<Result<Config, String>>) {
     while hangup.recv().await.is_some() {
-        match Config::read(&path) {
-            Ok(config) => {
-                foxhold::log!("foxhold: configuration read anew");
-                let _ = configs.send(config).await;
-            }
-            Err(error) => foxhold::log!("foxhold: {error}; the one before stays"),
-        }
+        let _ = configs.send(Config::read(&path)).await;
     }
 }
--- a/src/middleware.rs
+++ b/src/middleware.rs
@@ -147,7 +147,8 @@
             let grant = parts.extensions.get::<Grant>().cloned().unwrap_or_else(open);
             let known = only(&parts.headers, &IF_NONE_MATCH).map(bare_tag);
             let id = core.fresh_id();
-            let ask = signed::ask(core.settings(), parts.method.as_str(), &grant, id, known, body.to_bytes());
+            let ask =
+                signed::ask(&core.settings(), parts.method.as_str(), &grant, id, known, body.to_bytes());
             match ask {
                 Ok(ask) => {
                     let answer: Answer = core.ask(ask).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -32,8 +32,9 @@
         let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
         let (class, object) =
             path.strip_prefix("/ops/").and_then(|p| p.split_once('/')).ok_or_else(|| Response::empty(404))?;
-        let class = self.0.class(class).ok_or_else(|| Response::empty(404))?;
-        let facts = &self.0.settings().classes[class];
+        let settings = self.0.settings();
+        let class = settings.class(class).ok_or_else(|| Response::empty(404))?;
+        let facts = &settings.classes[class];
         let method = if facts.write { "PUT" } else { "GET" };
         if head.method != method {
             return Err(Response::empty(405).with("Allow", method.into()));
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,9 +2,10 @@
 
 use super::board::{self, Notice};
 use crate::api::Settings;
-use crate::settings::{decode_settings, decode_transport, Transport};
+use crate::settings::{check_limits, decode_settings, decode_transport, Transport};
 use miniserde::json::{self, Value};
 use miniserde::Deserialize;
+use std::collections::BTreeSet;
 use std::path::Path;
 
 /// What a director is told at its start.
@@ -14,6 +15,8 @@
     pub listen: String,
     /// The notice board's address.
     pub board: String,
+    /// Where operators call; empty: nowhere.
+    pub ops: String,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -26,12 +29,15 @@
     pub rev: u64,
     /// The notice board's events of the start.
     pub known: Vec<Notice>,
+    /// The names of all keys, those within objects with the way there.
+    keys: BTreeSet<String>,
 }
 
 #[derive(Deserialize)]
 struct Raw {
     listen: String,
     board: Option<String>,
+    ops: Option<String>,
     seed: Option<Value>,
     limits: Option<Limits>,
     known: Option<Known>,
@@ -61,6 +67,9 @@
     pub fn parse(text: &str) -> Result<Config, String> {
         let raw: Raw = json::from_str(text)
             .map_err(|_| "not JSON, or without 'listen', 'settings' or a readable 'known'".to_owned())?;
+        let mut keys = BTreeSet::new();
+        list_keys(&json::from_str(text).map_err(|_| "not JSON")?, "", &mut keys);
+        check_limits(&raw.settings).map_err(|e| format!("settings: {e}"))?;
         let settings = decode_settings(&raw.settings).map_err(|e| format!("settings: {e}"))?;
         let transport = decode_transport(&raw.settings).map_err(|e| format!("settings: {e}"))?;
         let (rev, notices) = raw.known.map_or((0, Vec::new()), |k| (k.rev, k.notices));
@@ -68,14 +77,35 @@
         Ok(Config {
             listen: raw.listen,
             board: raw.board.unwrap_or_default(),
+            ops: raw.ops.unwrap_or_default(),
             seed: seed(raw.seed.as_ref())?,
             sockets: raw.limits.and_then(|l| l.sockets).map_or(1024, |n| n.clamp(64.0, 1e6) as usize),
             settings,
             transport,
             rev,
             known: known.map_err(|e| format!("known: {e}"))?,
+            keys,
         })
     }
+
+    /// Whether a later configuration may take this one's place. Guards against a file that was cut or put
+    /// together badly and can be read all the same: what this one tells it must tell too.
+    pub fn may_follow(&self, before: &Config) -> Result<(), String> {
+        match before.keys.difference(&self.keys).next() {
+            Some(key) => Err(format!("key '{key}': missing")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Lists the keys of an object and of the objects in it; lists have entries that differ.
+fn list_keys(value: &Value, path: &str, keys: &mut BTreeSet<String>) {
+    let Value::Object(object) = value else { return };
+    for (name, value) in object.iter().filter(|(_, v)| !matches!(v, Value::Null)) {
+        let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+        list_keys(value, &path, keys);
+        keys.insert(path);
+    }
 }
 
 fn seed(value: Option<&Value>) -> Result<u64, String> {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,17 +5,20 @@
 pub mod config;
 pub mod http;
 pub mod lines;
+pub mod ops;
 pub mod serve;
 pub mod servers;
 pub mod signed;
 pub mod watched;
 
+use crate::api::Settings;
 use crate::core::{self, Clock, Message, Reports};
 use crate::signed::Counts;
 use crate::xds;
 use clients::Platform;
 use config::Config;
-use serve::{Places, Shared};
+use ops::{Door, Reloads};
+use serve::{Closing, Places, Shared};
 use servers::Servers;
 use signed::{parse_keys, FrontFile, Metrics, Signed};
 use std::cell::Cell;
@@ -35,17 +38,18 @@
 
 /// Runs a director until `terminated` is done and what it had taken by then is answered. The second front
 /// runs beside the platform's where its file says so. Of a configuration that comes later the board's address
-/// is taken over; whatever is under way is left alone.
+/// and the settings are taken over; whatever is under way is left alone. Clients come to the inherited
+/// socket, where there is one: another process serves it too, or will.
 pub async fn run(
     config: Config,
     second: Option<FrontFile>,
-    configs: mpsc::Receiver<Config>,
+    inherited: Option<std::net::TcpListener>,
+    configs: mpsc::Receiver<Result<Config, String>>,
     terminated: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let (to_board, board) = watch::channel(config.board.clone());
-    tokio::task::spawn_local(take_over(config.clone(), configs, to_board));
-    let Config { listen, seed, sockets, settings, transport, rev, known, .. } = config;
-    let longest = transport.longest_deadline.max(LEAST_DEADLINE);
+    let first = config.clone();
+    let Config { listen, ops, seed, sockets, settings, transport, rev, known, .. } = config;
     let clock = Clock::system();
     let xds = second.as_ref().and_then(|file| file.xds.clone());
     let listed = xds.map(|path| Watched::open(path, xds::parse)).transpose()?;
@@ -63,7 +67,9 @@
         tokio::task::spawn_local(follow_members(file, core.reports()));
     }
     tokio::task::spawn_local(board::follow(board, rev, purges_only, core.reports()));
-    let (close, closing) = watch::channel(false);
+    let reloads = Rc::new(Reloads::default());
+    tokio::task::spawn_local(take_over(first, configs, to_board, core.reports(), reloads.clone()));
+    let (close, closing) = watch::channel(Closing::No);
     let open = Rc::new(Cell::new(0));
     // Clients hold a third of the descriptors at most; a few more places let a new one in before an old one
     // is seen to have gone, and some more where none can make room at once.
@@ -72,7 +78,16 @@
         let (core, closing) = (core.clone(), closing.clone());
         Shared { core, places: places.clone(), closing, open: open.clone() }
     };
-    let mut accepting = vec![serve::listen(&listen, share(), Platform(core.clone())).await?];
+    let last_answers = inherited.is_some();
+    let mut accepting = vec![match inherited {
+        Some(socket) => serve::adopt(socket, share(), Platform(core.clone()))?,
+        None => serve::listen(&listen, share(), Platform(core.clone())).await?,
+    }];
+    if !ops.is_empty() {
+        let door = Door { core: core.clone(), open: open.clone(), closing: closing.clone(), reloads };
+        // Open until the program ends, for the figures of what is still under way.
+        ops::listen(&ops, door).await?;
+    }
     if let Some(((keys_file, keys), FrontFile { listen, metrics, .. })) = keyed {
         let (sender, keys) = watch::channel(Arc::new(keys));
         tokio::task::spawn_local(signed::follow_keys(keys_file, sender));
@@ -88,9 +103,17 @@
         end = running.task => return Err(format!("the core ended: {end:?}")),
     }
     let told = Instant::now();
+    let longest = core.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let longest = Duration::from_micros(longest).max(LEAST_DEADLINE);
+    if last_answers {
+        // Guards against taking from the shared socket what the successor should: who is served here once
+        // more is told to come anew, and comes to it.
+        accepting.iter().for_each(JoinHandle::abort);
+        let _ = close.send(Closing::AfterAnswer);
+    }
     sleep(STILL_COMING).await;
     accepting.iter().for_each(JoinHandle::abort);
-    let _ = close.send(true);
+    let _ = close.send(Closing::Idle);
     while open.get() > 0 && told.elapsed() < longest + STILL_COMING {
         sleep(Duration::from_millis(5)).await;
     }
@@ -99,13 +122,36 @@
     Ok(())
 }
 
-/// Takes over what can change while the program runs, which is where the board is; its numbers carry on, so
-/// the events that a later configuration holds will come from there. What else is new is logged.
-async fn take_over(mut config: Config, mut configs: mpsc::Receiver<Config>, board: watch::Sender<String>) {
+/// Takes over what can change while the program runs: the settings, and where the board is; its numbers carry
+/// on, so the events that a later configuration holds will come from there. What else is new is logged. One
+/// that can't be used is turned down whole, and the one before stays.
+async fn take_over(
+    mut config: Config,
+    mut configs: mpsc::Receiver<Result<Config, String>>,
+    board: watch::Sender<String>,
+    core: Reports,
+    reloads: Rc<Reloads>,
+) {
     while let Some(new) = configs.recv().await {
-        let fixed = |c: &Config| (c.listen.clone(), c.sockets, c.settings.clone(), c.transport.clone());
+        let new = match new.and_then(|new| new.may_follow(&config).map(|()| new)) {
+            Ok(new) => new,
+            Err(error) => {
+                log!("foxhold: {error}; the configuration before stays");
+                reloads.failed.set(reloads.failed.get() + 1);
+                continue;
+            }
+        };
+        log!("foxhold: configuration read anew");
+        reloads.taken.set(reloads.taken.get() + 1);
+        let placed = |s: &Settings| (s.zones.clone(), s.zone, s.kinds.clone(), s.parent_kind, s.origin_kind);
+        let fixed = |c: &Config| {
+            (c.listen.clone(), c.ops.clone(), c.sockets, c.transport.clone(), placed(&c.settings))
+        };
         if fixed(&new) != fixed(&config) {
-            log!("configuration: only 'board' is taken over; other changes wait for a restart");
+            log!("configuration: addresses, limits, connections, zones and kinds wait for a restart");
+        }
+        if new.settings != config.settings {
+            core.send(Message::Settings(Box::new(new.settings.clone()))).await;
         }
         config = new;
         board.send_if_modified(|at| std::mem::replace(at, config.board.clone()) != config.board);
--- /dev/null
+++ b/src/net/ops.rs
@@ -0,0 +1,146 @@
+//! The operators' door: one line a connection, answered with a line that begins with `YES` or `NO`.
+
+use super::serve::Closing;
+use crate::core::{ClassCounts, Core, Figures};
+use miniserde::{json, Serialize};
+use std::cell::Cell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// Callers at a time; a further one takes the place of the one that came first.
+const MOST_CALLERS: usize = 8;
+/// The longest call.
+const LONGEST_CALL: usize = 256;
+/// A call must have come whole, and its answer have been taken, by then.
+const WHOLE_CALL: Duration = Duration::from_secs(2);
+/// The core answers within this, or can't serve.
+const CORE: Duration = Duration::from_millis(500);
+
+/// Files read at SIGHUP since the start.
+#[derive(Debug, Default)]
+pub struct Reloads {
+    /// Taken over.
+    pub taken: Cell<u64>,
+    /// Turned down.
+    pub failed: Cell<u64>,
+}
+
+/// What the door shows.
+#[derive(Clone)]
+pub struct Door {
+    /// The core, whose figures are shown.
+    pub core: Core,
+    /// Requests that are taken and not ended.
+    pub open: Rc<Cell<usize>>,
+    /// Whether the program is to end.
+    pub closing: watch::Receiver<Closing>,
+    /// Configurations read anew.
+    pub reloads: Rc<Reloads>,
+}
+
+#[derive(Serialize)]
+struct Shown {
+    requests: BTreeMap<String, ShownClass>,
+    attempts: u64,
+    in_flight: usize,
+    caches_known: usize,
+    caches_excluded: usize,
+    reloads_ok: u64,
+    reloads_failed: u64,
+}
+
+#[derive(Serialize)]
+struct ShownClass {
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
+/// Listens at an address for as long as the program runs.
+pub async fn listen(address: &str, door: Door) -> Result<(), String> {
+    let listener = TcpListener::bind(address).await.map_err(|e| format!("operators at {address}: {e}"))?;
+    tokio::task::spawn_local(accept(listener, door));
+    Ok(())
+}
+
+/// Gives each caller a task of its own, so that one that says nothing holds up no other.
+pub async fn accept(listener: TcpListener, door: Door) {
+    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|c| !c.is_finished());
+                if callers.len() >= MOST_CALLERS {
+                    callers.pop_front().iter().for_each(AbortHandle::abort);
+                }
+                let door = door.clone();
+                let task = tokio::task::spawn_local(async move {
+                    let _ = timeout(WHOLE_CALL, door.serve(stream)).await; // too slow: closed
+                });
+                callers.push_back(task.abort_handle());
+            }
+            Err(error) => {
+                log!("operators: accept: {error}");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+impl Door {
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let (mut call, mut byte) = (Vec::new(), [0; 64]);
+        let end = loop {
+            if let Some(end) = call.iter().position(|b| *b == b'\n') {
+                break end;
+            }
+            let n = stream.read(&mut byte).await?;
+            if n == 0 {
+                return Ok(());
+            }
+            call.extend_from_slice(&byte[..n]);
+            if call.len() > LONGEST_CALL {
+                return stream.write_all(b"NO the call is too long\n").await;
+            }
+        };
+        let answer = self.answer(call[..end].trim_ascii()).await;
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await
+    }
+
+    async fn answer(&self, call: &[u8]) -> String {
+        if !matches!(call, b"check" | b"vars") {
+            return "NO such call; there are 'check' and 'vars'\n".into();
+        }
+        let Ok(Some(figures)) = timeout(CORE, self.core.figures()).await else {
+            return "NO the core does not answer\n".into();
+        };
+        match call {
+            b"check" if *self.closing.borrow() != Closing::No => "NO it is about to end\n".into(),
+            b"check" => "YES\n".into(),
+            _ => format!("{}\nEND\n", self.show(figures)),
+        }
+    }
+
+    fn show(&self, figures: Figures) -> String {
+        let class = |c: ClassCounts| {
+            let ClassCounts { served, refused, failed } = c;
+            ShownClass { served, refused, failed }
+        };
+        json::to_string(&Shown {
+            requests: figures.requests.iter().map(|(name, c)| (name.to_string(), class(*c))).collect(),
+            attempts: figures.attempts,
+            in_flight: self.open.get(),
+            caches_known: figures.known,
+            caches_excluded: figures.excluded,
+            reloads_ok: self.reloads.taken.get(),
+            reloads_failed: self.reloads.failed.get(),
+        })
+    }
+}
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -40,6 +40,18 @@
     fn word(&self, answer: Answer) -> Response;
 }
 
+/// How far the end of the program has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Closing {
+    /// Not begun.
+    #[default]
+    No,
+    /// Each connection ends with its next answer.
+    AfterAnswer,
+    /// Those without a request in hand end now.
+    Idle,
+}
+
 /// What all connections of a front share, and all fronts of a program.
 pub struct Shared {
     /// Where requests go.
@@ -47,7 +59,7 @@
     /// The client connections that may be open at a time, of all fronts together.
     pub places: Rc<Places>,
     /// Told when the program is to end.
-    pub closing: watch::Receiver<bool>,
+    pub closing: watch::Receiver<Closing>,
     /// Requests that are taken and not answered.
     pub open: Rc<Cell<usize>>,
 }
@@ -60,6 +72,20 @@
     Ok(tokio::task::spawn_local(accept(listener, shared, front)))
 }
 
+/// The same on a socket that was opened by whoever started the program.
+pub fn adopt<F: Front>(
+    listener: std::net::TcpListener,
+    shared: Shared,
+    front: F,
+) -> Result<JoinHandle<()>, String> {
+    let error = |e| format!("inherited socket: {e}");
+    listener.set_nonblocking(true).map_err(error)?;
+    let address = listener.local_addr().map_err(error)?;
+    let listener = TcpListener::from_std(listener).map_err(error)?;
+    log!("foxhold: {} on {address}, inherited", F::NAME);
+    Ok(tokio::task::spawn_local(accept(listener, shared, front)))
+}
+
 /// Accepts connections from a listener. It waits for no place: where connections come and say nothing, others
 /// would wait behind them.
 pub async fn accept<F: Front>(listener: TcpListener, shared: Shared, front: F) {
@@ -214,7 +240,7 @@
         let request = tokio::select! {
             request = connection.next_request(front.largest_body()) => request,
             // One that has begun to come is taken, and answered before the program ends.
-            _ = closing.wait_for(|c| *c), if connection.idle() => match connection.idle() {
+            _ = closing.wait_for(|c| *c == Closing::Idle), if connection.idle() => match connection.idle() {
                 true => return,
                 false => continue,
             },
@@ -244,7 +270,7 @@
                 () = connection.gone() => return,
             },
         };
-        let close = head.close || *shared.closing.borrow();
+        let close = head.close || *shared.closing.borrow() != Closing::No;
         if connection.write(&response, close).await.is_err() || close {
             return;
         }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -209,6 +209,7 @@
             probes: HashMap::new(),
             ids: HashMap::new(),
             forgotten: VecDeque::new(),
+            unwritten: VecDeque::new(),
             out: BytesMut::new(),
             queued: 0,
             written: 0,
@@ -244,6 +245,8 @@
     ids: HashMap<Arc<str>, Ticket>,
     /// Ids that were given up here; the oldest leave first.
     forgotten: VecDeque<Arc<str>>,
+    /// Where requests end that are not written whole, in their order.
+    unwritten: VecDeque<u64>,
     out: BytesMut,
     /// Bytes ever put into the out buffer, and ever written.
     queued: u64,
@@ -326,6 +329,7 @@
                     let start = self.queued;
                     self.queued += (self.out.len() - from) as u64;
                     let open = Open { id: want.id.clone(), start, end: self.queued, since: now };
+                    self.unwritten.push_back(self.queued);
                     self.ids.insert(want.id, want.ticket);
                     self.open.insert(want.ticket, open);
                 }
@@ -340,6 +344,14 @@
         }
     }
 
+    /// Tells of each request that has now been written whole, answered or not, given up or not.
+    async fn count_written(&mut self) {
+        while self.unwritten.front().is_some_and(|end| *end <= self.written) {
+            self.unwritten.pop_front();
+            self.reports.send(Message::Written).await;
+        }
+    }
+
     async fn report(&mut self, ticket: Ticket, end: crate::core::End) {
         self.reports.send(Message::Ended(ticket, end)).await;
         let _ = self.actor.send(News::Done(self.number, ticket)).await;
@@ -382,6 +394,7 @@
                     Ok(n) if n > 0 => {
                         self.out.advance(n);
                         self.written += n as u64;
+                        self.count_written().await;
                     }
                     _ => return reader.answering().map(Into::into),
                 },
--- a/src/net/signed.rs
+++ b/src/net/signed.rs
@@ -105,7 +105,7 @@
         let grant = self.check(head).map_err(|denied| self.say(signed::word(Err(denied))))?;
         let known = head.only("if-none-match").map(bare_tag);
         let id = self.core.fresh_id();
-        signed::ask(self.core.settings(), &head.method, &grant, id, known, body).map_err(|unfit| {
+        signed::ask(&self.core.settings(), &head.method, &grant, id, known, body).map_err(|unfit| {
             self.counts.add("bad_request");
             let response = Response::empty(unfit.status);
             match unfit.allow {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -156,6 +156,7 @@
             grace: micros(grace.get(i).copied().unwrap_or(0.0)),
             stale_share: stale.get(i).copied().unwrap_or(1.0),
             write: writes.get(i).copied().unwrap_or(false),
+            retired: false,
         });
     }
     let zones = top.texts("zones")?;
@@ -214,6 +215,22 @@
     })
 }
 
+/// Turns down settings by which requests can't be held to anything: without a class, or with a deadline or a
+/// number of attempts that is no number above 0.
+pub(crate) fn check_limits(json: &Value) -> Result<(), String> {
+    let top = Params(json, "");
+    let services = top.list("services")?;
+    let above_0 = |params: &Params, key| match params.get(key).map(real) {
+        Some(Some(number)) if number > 0.0 => Ok(()),
+        _ => Err(params.bad(key, "not a number above 0")),
+    };
+    if services.is_empty() {
+        return Err(top.bad("services", "holds no class"));
+    }
+    services.iter().try_for_each(|class| above_0(&Params(class, "services[]."), "deadlineMs"))?;
+    above_0(&top.part("bounds", "bounds.")?, "maxAttempts")
+}
+
 /// What the settings say of connections to servers; only the daemon reads it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Transport {
@@ -223,19 +240,15 @@
     pub idle: Duration,
     /// Attempts that one connection carries at a time.
     pub streams: usize,
-    /// The longest deadline of any class.
-    pub longest_deadline: Duration,
 }
 
 /// Reads the part of the settings that concerns connections; what is not told gets a usual value.
 pub fn decode_transport(json: &Value) -> Result<Transport, String> {
     let bounds = Params(json, "").part("bounds", "bounds.")?;
     let ms = |key, none| bounds.time(key, none).map(Duration::from_micros);
-    let classes = decode_settings(json)?.classes;
     Ok(Transport {
         connect_timeout: ms("connectTimeoutMs", 400.0)?,
         idle: ms("connIdleMs", 30_000.0)?,
         streams: bounds.real("streamsPerConn", 100.0)?.max(1.0) as usize,
-        longest_deadline: Duration::from_micros(classes.iter().map(|c| c.deadline).max().unwrap_or(0)),
     })
 }
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -4,6 +4,7 @@
 
 use foxhold::core::Clock;
 use foxhold::net::clients::Platform;
+use foxhold::net::serve::Closing;
 use standin::*;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -189,14 +190,14 @@
     local(async {
         let cache = Server::start(COPY).await;
         let core = start(settings(), Clock::system(), vec![cache.listing("s-cache", "edge", "cache")]);
-        let (close, closing) = tokio::sync::watch::channel(false);
+        let (close, closing) = tokio::sync::watch::channel(Closing::No);
         let address = serve_until(&core, Platform(core.clone()), closing).await;
         let request = get("7f3a9c21e0b4d655", "").replace("Connection: close\r\n", "");
         let mut idle = TcpStream::connect(&address).await.expect("a listener");
         let mut begun = TcpStream::connect(&address).await.expect("a listener");
         begun.write_all(&request.as_bytes()[..20]).await.expect("a reader");
         tokio::time::sleep(Duration::from_millis(50)).await; // so that it has come
-        close.send(true).expect("a front");
+        close.send(Closing::Idle).expect("a front");
         assert_eq!(idle.read(&mut [0]).await.expect("an end"), 0, "idle connections end");
         begun.write_all(&request.as_bytes()[20..]).await.expect("a reader");
         let mut answer = String::new();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -75,6 +75,7 @@
         ("b", &good.replace("\"zone\": \"branch\"", "\"zone\": \"elsewhere\""), "key 'zone'"),
         ("c", &good.replace("\"in_service\"", "\"resting\""), "'resting'"),
         ("d", &good.replace("127.0.0.1:0", "nowhere"), "listen on nowhere"),
+        ("e", &good.replace("\"maxAttempts\": 6", "\"maxAttempts\": 0"), "maxAttempts"),
     ] {
         let path = file(name, text);
         let output = start(&path).0.take().expect("a program").wait_with_output().expect("an end");
@@ -160,3 +161,63 @@
         std::fs::remove_file(&path).expect("the file");
     });
 }
+
+/// Guards against a second process failing for the address that the first one serves, and against requests
+/// lost between the two: each connection of the old one ends with an answer that says so.
+#[test]
+fn a_successor_on_the_inherited_socket_takes_over_from_one_that_ends() {
+    local(async {
+        let origin = Server::start(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
+        let path = file("heir", &config(&origin.address));
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = socket.local_addr().expect("an address").to_string();
+        let start = || {
+            let held = std::os::fd::OwnedFd::from(socket.try_clone().expect("a descriptor"));
+            let mut child = Command::new("sh")
+                .args(["-c", "exec 3<&0 0</dev/null; exec \"$0\"", env!("CARGO_BIN_EXE_foxhold")])
+                .env("ROUTER_CONFIG", &path)
+                .env("ROUTER_FD", "3")
+                .env_remove("FOXHOLD_FRONT")
+                .current_dir(std::env::temp_dir())
+                .stdin(Stdio::from(held))
+                .stdout(Stdio::null())
+                .stderr(Stdio::piped())
+                .spawn()
+                .expect("the program");
+            let mut line = String::new();
+            let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+            log.read_line(&mut line).expect("a line");
+            assert!(line.contains(&address), "{line}");
+            Running(Some(child))
+        };
+        let request = |n: u32| {
+            format!(
+                "PUT /ops/filing-submit/00000000000000aa HTTP/1.1\r\nX-Job-Id: {n:016x}\r\n\
+                 X-Allow-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+            )
+        };
+        async fn ask(stream: &mut TcpStream, request: String) -> String {
+            stream.write_all(request.as_bytes()).await.expect("a reader");
+            let mut answer = Vec::new();
+            while !answer.ends_with(b"\r\n\r\nok") {
+                assert_ne!(stream.read_buf(&mut answer).await.expect("an answer"), 0);
+            }
+            String::from_utf8(answer).expect("text")
+        }
+        let mut old = start();
+        let mut kept = TcpStream::connect(&address).await.expect("a listener");
+        assert!(!ask(&mut kept, request(1)).await.contains("Connection: close"));
+        let new = start();
+        signal(&mut old, "TERM");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for n in 2..20 {
+            let mut stream = TcpStream::connect(&address).await.expect("a listener");
+            assert!(!ask(&mut stream, request(n)).await.contains("Connection: close"), "the successor's");
+        }
+        assert!(ask(&mut kept, request(1)).await.contains("Connection: close"), "the last answer");
+        let status = tokio::task::spawn_blocking(move || old.child().wait()).await.expect("a thread");
+        assert!(status.expect("an end").success());
+        drop(new);
+        std::fs::remove_file(&path).expect("the file");
+    });
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -446,3 +446,16 @@
     let short = g.request_until(60_001, until);
     assert!(refused(&g.event(Event::Request(short))));
 }
+
+/// Guards open requests: the number of attempts that held when they came is theirs to the end.
+#[test]
+fn fewer_attempts_hold_for_requests_to_come_and_not_for_open_ones() {
+    let mut g = Gateway::usual();
+    let open = g.send(5);
+    g.event(Event::Settings(Box::new(Settings { max_attempts: 1, ..settings() })));
+    let again = g.end(&open, 0, Outcome::Full, Note::None);
+    assert_eq!(sent(&again).len(), 1, "{again:?}");
+    let new = g.send(6);
+    let after = g.end(&new, 0, Outcome::Full, Note::None);
+    assert!(sent(&after).is_empty() && refused(&after), "{after:?}");
+}
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -16,6 +16,8 @@
 struct Peer {
     orders: mpsc::Sender<Order>,
     news: mpsc::Receiver<Message>,
+    /// Attempts told of as written whole.
+    written: usize,
 }
 
 impl Peer {
@@ -23,7 +25,7 @@
         let (reports, news) = mpsc::channel(64);
         let listing = listing("s-1", address, "edge", "cache");
         let orders = Servers::new(transport, descriptors).open(ServerId(1), &listing, Reports::new(reports));
-        Peer { orders, news }
+        Peer { orders, news, written: 0 }
     }
 
     async fn want(&self, attempt: u32, id: &str, body: Vec<u8>) {
@@ -49,9 +51,12 @@
     }
 
     async fn end(&mut self) -> (u32, End) {
-        match self.news.recv().await {
-            Some(Message::Ended(ticket, end)) => (ticket.attempt, end),
-            other => panic!("{other:?}"),
+        loop {
+            match self.news.recv().await {
+                Some(Message::Ended(ticket, end)) => return (ticket.attempt, end),
+                Some(Message::Written) => self.written += 1,
+                other => panic!("{other:?}"),
+            }
         }
     }
 
@@ -85,6 +90,29 @@
     });
 }
 
+/// Guards the figures: what was written whole is counted once, be it answered, broken off or given up.
+#[test]
+fn each_attempt_written_whole_is_told_of_once() {
+    local(async {
+        let server = Server::start(Manner::Silent).await;
+        let mut peer = Peer::open(&server.address, transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        peer.want(1, "b", Vec::new()).await;
+        sent(&server, 2).await;
+        let ticket = Ticket { request: 1, attempt: 0 };
+        peer.orders.send(Order::Forget(ticket)).await.expect("an actor");
+        *server.manner.borrow_mut() = Manner::Closes;
+        peer.want(2, "c", Vec::new()).await;
+        assert_eq!((peer.broken().await, peer.broken().await), (Broken::Written, Broken::Written));
+        assert_eq!(peer.written, 3);
+        let nobody =
+            TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("an address");
+        let mut peer = Peer::open(&nobody.to_string(), transport(), 9);
+        peer.want(0, "a", Vec::new()).await;
+        assert_eq!((peer.broken().await, peer.written), (Broken::NotConnected, 0));
+    });
+}
+
 #[test]
 fn a_request_that_the_server_can_t_have_whole_is_partly_written() {
     local(async {
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -172,12 +172,7 @@
 }
 
 pub fn transport() -> Transport {
-    Transport {
-        connect_timeout: Duration::from_millis(400),
-        idle: Duration::from_secs(30),
-        streams: 100,
-        longest_deadline: Duration::from_secs(3),
-    }
+    Transport { connect_timeout: Duration::from_millis(400), idle: Duration::from_secs(30), streams: 100 }
 }
 
 /// A director's core, whose servers are real sockets.
@@ -189,13 +184,17 @@
 
 /// Serves a front on a port of its own and returns its address.
 pub async fn serve<F: Front>(core: &Core, front: F) -> String {
-    let (close, closing) = watch::channel(false);
+    let (close, closing) = watch::channel(serve::Closing::No);
     std::mem::forget(close); // the front stays open for as long as the test runs
     serve_until(core, front, closing).await
 }
 
 /// The same until it is told to close.
-pub async fn serve_until<F: Front>(core: &Core, front: F, closing: watch::Receiver<bool>) -> String {
+pub async fn serve_until<F: Front>(
+    core: &Core,
+    front: F,
+    closing: watch::Receiver<serve::Closing>,
+) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     let places = Places::new(100, 120);
