Admit fills by how the zone's link carries them; a full parent is no suspect

From 8 s on, with a burst of half as much again, in-time service fell from 99% to 52% and took 15 s to come back.

Seen, with a log line for every end of an attempt: at 10 s 1,413 'fills_full' and 1,605 'up_refused' answers a second, 904 parents suspected a second, hits down from 1,900 to 705 a second at 13 s. By zone (10 directors, 7 caches) fills took 1.0 to 1.4 times their sending time before the burst and 5 times from 10 s to 26 s, hits 1.0 to 1.5 times; the bytes of fills stayed at 4 to 6 sending-seconds a second throughout. So it is the zone's link in: past what it carries all fills share it and all are late, and the jam outlives the burst.

At fault: windows per source learn nothing here (a director has 2.5 fills a second over some 30 parents); `Outcome::Full` blamed a parent that was only full, so that others fetched its objects anew; `late` took any server not heard of since the send for silent, which with little traffic is nearly all, and probed at each.

Change: a share of fills admitted, cut by 0.7 when a fill's bytes took over twice its sending time, came to no end or found no place, raised by 0.12 when in time; a fill of k times the mean size passes with the k-squared'th power. Past it caches get plain looks. Full is no strike. A late answer asks for a probe; a probe's answer counts as a sign of life.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -68,9 +68,9 @@
 const WINDOW_ORIGIN: f64 = 48.0;
 /// A source's window stays above this, so that it is tried again.
 const WINDOW_LEAST: f64 = 0.1;
-/// A source's window shrinks to this share of its fills under way when one fails or is late.
+/// A source's window shrinks to this share of its fills under way when one fails or is late, once such are
+/// over a share of its recent fills: some are late by their size.
 const WINDOW_CUT: f64 = 0.7;
-/// That is when late and failed ones are over this share of its recent fills: some are late by their size.
 const SLOW_SHARE: f64 = 0.35;
 /// Weight of the last fill in that share, and what a fill in time adds to the window.
 const SLOW_BLEND: f64 = 0.1;
@@ -79,6 +79,13 @@
 const SLOW_FILL: f64 = 0.8;
 /// A cache loaded under this much turns nothing away for itself: its source did.
 const ROOMY: f64 = 1.2;
+/// What a fill that the zone's link carried slowly, or in time, does to the share of fills admitted, and the
+/// least of that, for it is tried again. Both pull alike where a quarter of the fills are slow.
+const ADMIT_CUT: f64 = 0.7;
+const ADMIT_GROW: f64 = 0.12;
+const ADMIT_LEAST: f64 = 0.05;
+/// A size counts as at most this multiple of its class's mean.
+const HEAVIEST: f64 = 3.0;
 /// A request is turned away when its predicted time is over this multiple of its aim at every cache.
 const SHED: f64 = 0.85;
 /// Weight of the last hit in what a cache's hits took, and what each takes beside its sending time.
@@ -141,8 +148,6 @@
     /// Our fills under way that it may be the source of, and the share of late and failed ones lately.
     window: f64,
     slow: f64,
-    /// The share of slow ones among fills from what it held, which the origin has no part in.
-    slow_held: f64,
     /// What its hits took lately, and what they take at full pace.
     took: f64,
     pace: f64,
@@ -295,8 +300,8 @@
     started: bool,
 }
 
-/// The server to ask, the source of a fill, and whether that gives only what it holds.
-type Choice = (ServerId, Option<ServerId>, bool);
+/// The server to ask, and the source of a fill.
+type Choice = (ServerId, Option<ServerId>);
 
 /// One gateway's decisions.
 #[derive(Default)]
@@ -316,6 +321,8 @@
     /// Share of our attempts lately whose answers were lost by caches that go on answering.
     lost: f64,
     relist_wait: Micros,
+    /// Share of the requests of mean size that may be filled, by how the zone's link carries fills.
+    admit: f64,
 }
 
 impl Router {
@@ -331,7 +338,7 @@
         }
         let paces = settings.classes.iter().map(|_| FRESH).collect();
         let (random, extra) = (mix(seed, 1), EXTRA_SAVED / 2.0);
-        Ok(Router { settings, random, paces, extra, relist_wait: RELIST, ..Router::default() })
+        Ok(Router { settings, random, paces, extra, admit: 1.0, relist_wait: RELIST, ..Router::default() })
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -502,14 +509,15 @@
     }
 
     /// A probe asked for at a first strike: where a gateway sends little, the next request is long in coming.
-    /// An answer proves little, since a server that hangs or loses answers may give it.
+    /// An answer shows that the process runs: a late answer before it is no sign of silence.
     fn probed(&mut self, now: Micros, id: ServerId, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        s.probing = false;
         match outcome {
-            Outcome::Ok | Outcome::Full => {}
+            Outcome::Ok | Outcome::Full => s.last_ok = now,
             Outcome::ConnectError | Outcome::Reset => self.blame(id, STRIKES, now, out),
-            _ => self.blame(id, 1.0, now, out),
+            _ => self.blame(id, STRIKES / 2.0, now, out),
         }
-        self.servers.entry(id).and_modify(|s| s.probing = false);
     }
 
     /// Mean sending time of the largest class: what one turn at a cold server is good for.
@@ -553,10 +561,8 @@
 
     /// The oldest copy that will do for an object under purge, if it is.
     fn purge_age(&self, request: &Request, now: Micros) -> Option<Micros> {
-        let named = |p: &Purge| {
-            p.object.map_or(request.group.is_none_or(|group| group == p.group), |o| o == request.object)
-        };
-        let hit = |p: &&Purge| p.until > now && named(p);
+        let grouped = |p: &Purge| request.group.is_none_or(|group| group == p.group);
+        let hit = |p: &&Purge| p.until > now && p.object.map_or(grouped(p), |o| o == request.object);
         self.purges.iter().filter(hit).map(|p| now.saturating_sub(p.at).max(1)).min()
     }
 
@@ -602,9 +608,7 @@
         } else {
             Action::Fail(id)
         });
-        if let Some(held) = self.held.get_mut(&id) {
-            held.over = true;
-        }
+        self.held.entry(id).and_modify(|held| held.over = true);
         self.settle(id, None, out);
     }
 
@@ -663,11 +667,8 @@
                 && self.may_send(held, *id, now)
                 && self.cold_take(*id, class_work, now, false)
         });
-        match usable[..] {
-            [first, second, ..] if held.hot >= HOT_SHARE && self.load(second) < self.load(first) => {
-                usable.swap(0, 1);
-            }
-            _ => {}
+        if held.hot >= HOT_SHARE && usable.len() > 1 && self.load(usable[1]) < self.load(usable[0]) {
+            usable.swap(0, 1);
         }
         // Guards against refusing while one cache has more than its part and others have room.
         let in_time = |id: &ServerId| !held.attempts.is_empty() || !self.too_slow(now, held, *id);
@@ -698,6 +699,12 @@
         if self.settings.classes[held.request.class].write {
             return self.origin;
         }
+        // Guards the zone's link, which all fills share: beyond what it carries each takes longer, until all
+        // are late. The large ones are left out first, for they take most of it.
+        let heavy = (held.work / self.paces[held.request.class].work).min(HEAVIEST);
+        if unit(self.draw()) > self.admit.powf(heavy * heavy) {
+            return None;
+        }
         let mut order = self.hashed(object, &self.parents);
         if let [first, second, ..] = order[..] {
             let since = self.servers[&second].member.since;
@@ -714,20 +721,6 @@
         order.into_iter().find(|id| self.room(*id, now))
     }
 
-    /// A parent without room may still be asked for what it holds: that asks nothing of the origin. Guards
-    /// against turning away what parents hold while the origin behind them is slow. Only at a first try, and
-    /// only the pair's first, which holds it if any does.
-    fn pick_held(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
-        let write = self.settings.classes[held.request.class].write;
-        if write || !held.attempts.is_empty() || self.settings.notes != Notes::All {
-            return None;
-        }
-        let first = *self.hashed(held.request.object, &self.parents).first()?;
-        let s = &self.servers[&first];
-        let fits = s.busy_until <= now && s.slow_held <= SLOW_SHARE && self.healthy(first, now);
-        (fits && self.cold_take(first, held.work, now, false)).then_some(first)
-    }
-
     /// Whether a source has room for one more of our fills. The window's fraction is drawn for: among many
     /// gateways one fill each may be too much.
     fn room(&mut self, id: ServerId, now: Micros) -> bool {
@@ -738,11 +731,8 @@
     /// Narrows a source's window when too many of its fills are late or fail; success widens it. Guards
     /// against a source swamped from elsewhere, which our own tally can't see, and against pushing the origin
     /// over. It can harm where slow caches make their sources look slow; success widens the window again.
-    fn fill_ended(&mut self, source: Option<ServerId>, failed: bool, slow: bool, held: bool) {
+    fn fill_ended(&mut self, source: Option<ServerId>, failed: bool, slow: bool) {
         let Some(s) = source.and_then(|s| self.servers.get_mut(&s)) else { return };
-        if held {
-            s.slow_held += SLOW_BLEND * (f64::from(u8::from(slow)) - s.slow_held);
-        }
         let bad = failed || slow;
         s.failed_fills = if failed { s.failed_fills + 1 } else { 0 };
         s.slow += SLOW_BLEND * (f64::from(u8::from(bad)) - s.slow);
@@ -753,11 +743,25 @@
         }
     }
 
+    /// What a fill's end tells of the zone's link: its bytes came slowly or not at all, or found no place.
+    fn admit_by(&mut self, end: &AttemptEnd, class: usize, work: f64, slow: bool) {
+        let sending = end.took.saturating_sub(end.waited) as f64;
+        let crowded = match (end.outcome, end.note) {
+            _ if self.settings.classes[class].write => return,
+            (Outcome::Ok, Note::Filled | Note::FilledByOrigin) => sending > LIMPS * (work + HIT_EXTRA),
+            (Outcome::Full, Note::NoPlace) => true,
+            (Outcome::Canceled | Outcome::TimedOut, _) if slow => true,
+            _ => return,
+        };
+        let next = if crowded { self.admit * ADMIT_CUT } else { self.admit + ADMIT_GROW };
+        self.admit = next.clamp(ADMIT_LEAST, 1.0);
+    }
+
     /// Sends an attempt for a request, if there is any way to.
     fn send(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(mut held) = self.held.remove(&id) else { return false };
         let choice = self.choose(now, &held);
-        if let Some(choice @ (server, source, _)) = choice {
+        if let Some(choice @ (server, source)) = choice {
             let fill = self.fill(now, &held, choice);
             let direct = source == Some(server);
             let mut booked = 0.0;
@@ -786,7 +790,7 @@
     }
 
     /// What the attempt says of a fill: its source, what is kept, and the oldest copy that will do.
-    fn fill(&self, now: Micros, held: &Held, (server, source, held_only): Choice) -> Option<Fill> {
+    fn fill(&self, now: Micros, held: &Held, (server, source): Choice) -> Option<Fill> {
         let class = &self.settings.classes[held.request.class];
         if class.write && source.is_none() {
             return None;
@@ -801,7 +805,7 @@
             keep: if passing { 0 } else { 1 + u8::from(held.asked > 1) },
             max_age: purged.map_or(limit, |age| if limit > 0 { age.min(limit) } else { age }),
             join: self.settings.joins && purged.is_none() && !passing,
-            held_only: held_only && source.is_some(),
+            held_only: false,
             renew: class.fresh > 0 && held.asked > 1 && !passing,
         })
     }
@@ -812,7 +816,7 @@
             let new =
                 |o: &ServerId| held.attempts.iter().all(|a| a.server != *o) && self.may_send(held, *o, now);
             if let Some(origin) = self.origin.filter(new) {
-                return Some((origin, None, false));
+                return Some((origin, None));
             }
         }
         if let Some(cache) = self.pick_cache(now, held) {
@@ -820,19 +824,16 @@
                 return None;
             }
             let source = self.pick_source(now, held);
-            let held_only = source.is_none();
             // Without a source it would be looked for in vain once more.
-            if held_only && held.attempts.iter().any(|a| a.missed) {
-                return None;
-            }
-            return Some((cache, source.or_else(|| self.pick_held(now, held)), held_only));
+            let vain = source.is_none() && held.attempts.iter().any(|a| a.missed);
+            return (!vain).then_some((cache, source));
         }
         // No cache of the zone can be used: go straight to the source.
         if !self.settings.direct {
             return None;
         }
         let source = self.pick_source(now, held).filter(|s| self.may_send(held, *s, now))?;
-        Some((source, Some(source), false))
+        Some((source, Some(source)))
     }
 
     /// Whether an answer from this cache would come too late to be of much worth, by what we have there.
@@ -854,9 +855,7 @@
             return false;
         }
         let sent = self.send(now, id, out);
-        if sent {
-            self.extra -= 1.0;
-        }
+        self.extra -= f64::from(u8::from(sent));
         sent
     }
 
@@ -914,13 +913,14 @@
             Note::None => self.settings.notes == Notes::None,
             _ => direct,
         };
+        self.admit_by(&end, class, work, slow && source.is_some());
         match end.outcome {
             Outcome::Ok => {
                 self.praise(server, now, out);
                 if let Some(source) = source.filter(|_| filled) {
                     self.praise(source, now, out);
                     self.objects.believe(object, source, now);
-                    self.fill_ended(Some(source), false, slow, end.note == Note::Filled);
+                    self.fill_ended(Some(source), false, slow);
                 } else if let Some(s) = source.and_then(|s| self.servers.get_mut(&s)) {
                     s.cold_level += booked; // a hit: the source was not asked
                 }
@@ -937,10 +937,9 @@
                 let at_source = source.is_some() && !direct && (told || untold);
                 let whose = source.filter(|_| at_source).unwrap_or(server);
                 self.servers.entry(whose).and_modify(|s| s.busy_until = now + BUSY);
-                self.fill_ended(source.filter(|_| at_source), true, true, false);
-                if at_source {
-                    self.blame(whose, 1.0, now, out);
-                }
+                // Turning work away is a sign of life: were a parent suspected for it, others would have to
+                // fetch its objects anew.
+                self.fill_ended(source.filter(|_| at_source), true, true);
             }
             Outcome::ConnectError | Outcome::Reset if alive || one_break => {}
             Outcome::Failed if error => self.blame(server, ERROR_STRIKE, now, out),
@@ -953,7 +952,7 @@
                     _ if end.outcome == Outcome::Failed || alive => source.or(Some(server)),
                     _ => Some(server),
                 };
-                self.fill_ended(guilty.filter(|_| guilty == source), true, true, false);
+                self.fill_ended(guilty.filter(|_| guilty == source), true, true);
                 if let Some(guilty) = guilty {
                     self.blame(guilty, 1.0, now, out);
                 }
@@ -998,7 +997,8 @@
         last.lost = guilty.is_none() && alone && self.settings.joins && self.lost > LOSSY;
         let lost = last.lost;
         if let Some(guilty) = guilty {
-            self.blame(guilty, 1.0, now, out);
+            // Where a gateway sends little, every late answer finds a server silent: a probe tells more.
+            self.blame(guilty, if self.settings.probes { 0.0 } else { 1.0 }, now, out);
         } else if lost {
             self.again(now, id, out);
         }
