--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -218,7 +218,16 @@
             requests.entry(name.clone()).or_default();
         }
         let known = self.servers.values().filter(|s| !s.gone()).count();
-        Figures { requests, attempts: self.written, known, excluded: self.router.excluded() }
+        let tables = Tables {
+            live: self.live.len().max(self.ids.len()),
+            attempts: self.attempts.len(),
+            alarms: self.alarms.len(),
+            probes: self.probes.len(),
+            servers: self.servers.len().max(self.names.len()),
+            mailbox: self.reports.0.max_capacity() - self.reports.0.capacity(),
+            classes: self.classes.len(),
+        };
+        Figures { requests, attempts: self.written, known, excluded: self.router.excluded(), tables }
     }
 
     /// Rings all alarms that are due.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -309,6 +309,35 @@
     pub known: usize,
     /// Those of them to which nothing goes now.
     pub excluded: usize,
+    /// What the core holds at this moment.
+    pub tables: Tables,
+}
+
+/// How many entries the core's tables have. Each is bounded by what is under way, not by what has been.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tables {
+    /// Requests that are held or whose attempts have not all ended.
+    pub live: usize,
+    /// Attempts that are out.
+    pub attempts: usize,
+    /// Timers that have not rung, those of ended requests among them.
+    pub alarms: usize,
+    /// Probes that are out.
+    pub probes: usize,
+    /// Servers known, and those gone that still have attempts out.
+    pub servers: usize,
+    /// Messages that wait in the mailbox, of 4,096 at most.
+    pub mailbox: usize,
+    /// Places of classes, retired ones among them.
+    pub classes: usize,
+}
+
+impl Tables {
+    /// Whether none has more entries than in `most`.
+    pub fn within(&self, most: &Tables) -> bool {
+        let list = |t: &Tables| [t.live, t.attempts, t.alarms, t.probes, t.servers, t.mailbox, t.classes];
+        list(self).iter().zip(list(most)).all(|(have, most)| *have <= most)
+    }
 }
 
 /// Opens actors for servers.
