Lay the library out by layers: transport, sources, fronts, daemon

Need: the middleware imported the daemon's HTTP front, and net/clients and net/serve imported each other. What both need (the largest write, bare tags) is now the core's; each layer imports only those below it. No behaviour changes; the tests pass as they were but for the paths.

--- a/examples/axum.rs
+++ b/examples/axum.rs
@@ -7,9 +7,11 @@
 use axum::routing::get;
 use axum::Router;
 use foxhold::core::{self, Clock};
+use foxhold::daemon::config::Config;
+use foxhold::fronts::signed::parse_keys;
 use foxhold::middleware::{Director, SignedLayer};
-use foxhold::net::{config::Config, servers::Servers, signed::parse_keys};
 use foxhold::signed::Counts;
+use foxhold::transport::servers::Servers;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,9 @@
 /// Messages that wait for the actor; who finds the mailbox full is told at the place of sending.
 const MAILBOX: usize = 4096;
 
+/// The largest body of a write, in bytes.
+pub const LARGEST_WRITE: usize = 48_000;
+
 /// When a client that found the mailbox full should come back.
 const WHEN_FULL: Duration = Duration::from_millis(500);
 
@@ -443,6 +446,12 @@
     !text.is_empty() && text.len() <= 256 && text.bytes().all(good)
 }
 
+/// An entity tag without its quotes and weakness.
+pub fn bare_tag(tag: &str) -> &str {
+    let tag = tag.strip_prefix("W/").unwrap_or(tag);
+    tag.strip_prefix('"').and_then(|t| t.strip_suffix('"')).unwrap_or(tag)
+}
+
 /// The number by which the module knows an object: its name where that is 16 hex digits, else a hash of it.
 pub fn object_number(name: &str) -> u64 {
     let hex = name.len() == 16 && name.bytes().all(|b| b.is_ascii_hexdigit());
--- a/src/net/config.rs
+++ b/src/daemon/config.rs
@@ -1,8 +1,8 @@
 //! The configuration that the platform hands a director.
 
-use super::board::{self, Notice};
 use crate::api::Settings;
 use crate::settings::{check_limits, decode_settings, decode_transport, Transport};
+use crate::sources::board::{self, Notice};
 use miniserde::json::{self, Value};
 use miniserde::Deserialize;
 use std::collections::BTreeSet;
--- a/src/net/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,26 +1,18 @@
-//! The daemon's sockets, by peer: clients, servers and the notice board.
+//! The daemon: a configuration, a source of members, the core and its fronts, put together.
 
-pub mod board;
-pub mod clients;
 pub mod config;
-pub mod http;
-pub mod lines;
-pub mod ops;
-pub mod serve;
-pub mod servers;
-pub mod signed;
-pub mod watched;
 
 use crate::api::Settings;
 use crate::core::{self, Clock, Message, Reports};
+use crate::fronts::ops::{self, Door, Reloads};
+use crate::fronts::platform::Platform;
+use crate::fronts::serve::{self, Closing, Places, Shared};
+use crate::fronts::signed::{self, parse_keys, FrontFile, Metrics, Signed};
 use crate::signed::Counts;
-use crate::xds;
-use clients::Platform;
+use crate::sources::watched::Watched;
+use crate::sources::{board, xds};
+use crate::transport::servers::Servers;
 use config::Config;
-use ops::{Door, Reloads};
-use serve::{Closing, Places, Shared};
-use servers::Servers;
-use signed::{parse_keys, FrontFile, Metrics, Signed};
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -29,7 +21,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
-use watched::Watched;
 
 /// After SIGTERM connections and requests keep coming for this long, and are served.
 const STILL_COMING: Duration = Duration::from_millis(700);
--- a/src/net/clients.rs
+++ b/src/fronts/platform.rs
@@ -2,14 +2,11 @@
 
 use super::http::{Head, Response};
 use super::serve::Front;
-use crate::core::{is_name, Answer, Ask, Cause, Core};
+use crate::core::{bare_tag, is_name, Answer, Ask, Cause, Core};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The largest body of a write.
-pub const LARGEST_WRITE: usize = 48_000;
-
 /// The longest that a client may wait, in milliseconds, and the largest size that it may tell, in KB: what
 /// lies beyond is no figure of a client's.
 const LONGEST_ALLOW: f64 = 3_600_000.0;
@@ -104,9 +101,3 @@
 fn is_hex(text: &str) -> bool {
     text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
 }
-
-/// An entity tag without its quotes and weakness.
-pub(crate) fn bare_tag(tag: &str) -> &str {
-    let tag = tag.strip_prefix("W/").unwrap_or(tag);
-    tag.strip_prefix('"').and_then(|t| t.strip_suffix('"')).unwrap_or(tag)
-}
--- a/src/net/serve.rs
+++ b/src/fronts/serve.rs
@@ -34,7 +34,7 @@
     fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response>;
     /// The largest body of a request.
     fn largest_body(&self) -> usize {
-        super::clients::LARGEST_WRITE
+        crate::core::LARGEST_WRITE
     }
     /// The one place where outcomes become statuses.
     fn word(&self, answer: Answer) -> Response;
--- a/src/net/signed.rs
+++ b/src/fronts/signed.rs
@@ -1,11 +1,11 @@
 //! The second front: signed URLs and tokens. It listens where a file says, and is off without one.
 
-use super::clients::bare_tag;
 use super::http::{Head, Response};
 use super::serve::Front;
-use super::watched::Watched;
+use crate::core::bare_tag;
 use crate::core::{Answer, Ask, Clock, Core};
 use crate::signed::{self, Counts, Denied, KeyFile, Keys, Worded};
+use crate::sources::watched::Watched;
 use bytes::Bytes;
 use miniserde::{json, Deserialize};
 use std::path::{Path, PathBuf};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 //! | --- | --- |
 //! | [`api`], [`Router`] | the decisions and their interface |
 //! | [`core`] | the actor that owns them, which knows no wire |
-//! | [`net`] | the daemon's sockets: both fronts, servers, the notice board |
-//! | [`signed`] | checks of signed URLs and tokens |
-//! | [`xds`] | member lists as Envoy reads them |
+//! | [`signed`] | checks of signed URLs and tokens, without I/O |
+//! | [`transport`] | how servers are reached |
+//! | [`sources`] | where members and purges come from: the notice board, files in xDS form |
+//! | [`fronts`] | what clients and operators speak with |
+//! | [`daemon`] | all of it put together |
 //! | `middleware` | a tower layer and service, behind the feature of that name |
 //! | [`settings`], [`wire`] | the settings' decoder; the simulator's wire |
 //!
@@ -61,14 +63,16 @@
 
 pub mod api;
 pub mod core;
+pub mod daemon;
 mod decide;
+pub mod fronts;
 #[cfg(feature = "middleware")]
 pub mod middleware;
-pub mod net;
 pub mod settings;
 pub mod signed;
+pub mod sources;
+pub mod transport;
 pub mod wire;
-pub mod xds;
 
 pub use api::*;
 pub use decide::Router;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,8 @@
 //! The director: reads its configuration, serves until SIGTERM, and then ends what it has taken. On SIGHUP it
 //! reads the configuration anew.
 
-use foxhold::net::{self, config::Config, signed::FrontFile};
+use foxhold::daemon::{self, config::Config};
+use foxhold::fronts::signed::FrontFile;
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -40,7 +41,7 @@
         let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let (to_director, configs) = mpsc::channel(1);
         tokio::task::spawn_local(reload(path, hangup, to_director));
-        net::run(config, second, inherited, configs, async move {
+        daemon::run(config, second, inherited, configs, async move {
             term.recv().await;
         })
         .await
--- a/src/middleware.rs
+++ b/src/middleware.rs
@@ -6,8 +6,7 @@
 //!
 //! A body is taken whole before it is passed on, up to [`LARGEST_WRITE`].
 
-use crate::core::{Answer, Clock, Core};
-use crate::net::clients::{bare_tag, LARGEST_WRITE};
+use crate::core::{bare_tag, Answer, Clock, Core, LARGEST_WRITE};
 use crate::signed::{self, Counts, Denied, Grant, Keys, Worded};
 use bytes::Bytes;
 use http::header::{ALLOW, CACHE_CONTROL, CONTENT_TYPE, ETAG, HOST, IF_NONE_MATCH, RETRY_AFTER};
--- /dev/null
+++ b/src/sources/mod.rs
@@ -0,0 +1,5 @@
+//! Where the list of members and purges come from.
+
+pub mod board;
+pub mod watched;
+pub mod xds;
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,4 @@
+//! How servers are reached: each way opens an actor for a server and speaks its wire.
+
+pub mod lines;
+pub mod servers;
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -3,7 +3,7 @@
 mod standin;
 
 use foxhold::core::{Message, Reports};
-use foxhold::net::board;
+use foxhold::sources::board;
 use standin::local;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -3,8 +3,8 @@
 mod standin;
 
 use foxhold::core::Clock;
-use foxhold::net::clients::Platform;
-use foxhold::net::serve::Closing;
+use foxhold::fronts::platform::Platform;
+use foxhold::fronts::serve::Closing;
 use standin::*;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -4,10 +4,10 @@
 
 use foxhold::api::*;
 use foxhold::core::{Clock, Message};
-use foxhold::net::clients::Platform;
-use foxhold::net::config::Config;
-use foxhold::net::ops::{self, Door, Reloads};
-use foxhold::net::serve::Closing;
+use foxhold::daemon::config::Config;
+use foxhold::fronts::ops::{self, Door, Reloads};
+use foxhold::fronts::platform::Platform;
+use foxhold::fronts::serve::Closing;
 use standin::*;
 use std::cell::Cell;
 use std::rc::Rc;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,8 +1,11 @@
 //! Random cuts of valid messages and random garbage against the parsers, from fixed seeds.
 
 use bytes::BytesMut;
-use foxhold::net::{board, config::Config, http, lines};
-use foxhold::{signed, xds};
+use foxhold::daemon::config::Config;
+use foxhold::fronts::http;
+use foxhold::signed;
+use foxhold::sources::{board, xds};
+use foxhold::transport::lines;
 use quickcheck::{Arbitrary, Gen};
 
 fn check<A: Arbitrary + std::fmt::Debug>(seed: u64, property: impl Fn(&A) -> bool) {
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -4,8 +4,8 @@
 
 use foxhold::api::ServerId;
 use foxhold::core::{Broken, End, Message, Order, Peers, Reports, Ticket, Verdict, Want};
-use foxhold::net::servers::Servers;
 use foxhold::settings::Transport;
+use foxhold::transport::servers::Servers;
 use standin::{listing, local, transport, Manner, Server};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -3,9 +3,9 @@
 
 use foxhold::api::*;
 use foxhold::core::{self, Clock, Core, Listing, Message};
-use foxhold::net::serve::{self, Front, Places, Shared};
-use foxhold::net::servers::Servers;
+use foxhold::fronts::serve::{self, Front, Places, Shared};
 use foxhold::settings::Transport;
+use foxhold::transport::servers::Servers;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
--- a/tests/xds.rs
+++ b/tests/xds.rs
@@ -4,8 +4,8 @@
 
 use foxhold::api::MemberState;
 use foxhold::core::{Listing, Message, Reports};
-use foxhold::net::{follow_members, watched::Watched};
-use foxhold::xds;
+use foxhold::sources::xds;
+use foxhold::{daemon::follow_members, sources::watched::Watched};
 use standin::{listing, paused};
 use std::time::Duration;
 use tokio::sync::mpsc;
