Embed the director: a builder, a thread of its own, and a handle that may go anywhere

Need: an embedder had to build a LocalSet and put settings, servers and the board's follower together by hand, and host tasks that block held up drains and deadlines.

Change: `foxhold::director` runs the daemon's own tasks on one thread; `Membership` and `Peers` (or a host's `Exchange`) are its sources and transports, and daemon and library start through the same `start_core`. A question whose client lets go is counted by what its attempts prove (`core::cancel`, a ledger without I/O: peers say how far each had come, silence counts as having run); one let go in the mailbox is sent to nobody. A drain told through the handle stands above what sources say (`membership`). A transport that panics, in the call, the task or at opening, costs its attempts only.

--- a/examples/axum.rs
+++ b/examples/axum.rs
@@ -7,7 +7,7 @@
 use axum::routing::get;
 use axum::Router;
 use foxhold::core::{self, Clock};
-use foxhold::daemon::config::Config;
+use foxhold::director::Config;
 use foxhold::fronts::signed::parse_keys;
 use foxhold::middleware::{Director, SignedLayer};
 use foxhold::signed::Counts;
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,10 +1,13 @@
 //! The actor: live requests, their attempts and timers, and the list, round the decision module.
 
+use super::cancel::{Ledger, Proof};
 use super::*;
 use crate::api::*;
+use crate::membership::Drains;
 use crate::Router;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use tokio::time::sleep_until;
 
 /// The answer leaves this much before the client gives up, for it has a way to go, as the request had: a
@@ -24,6 +27,9 @@
 /// A probe without an answer by then has failed.
 const PROBE_TIMEOUT: Micros = 250_000;
 
+/// A peer that was told to give an attempt up tells how far it had come within this, or it counts as run.
+const TOLD_WITHIN: Micros = 1_000_000;
+
 /// A request that is held or whose attempts have not all ended.
 struct Live {
     ask: Ask,
@@ -67,6 +73,7 @@
     Attempt(Ticket),
     Expiry(u64),
     Probe(u64),
+    LetGo(u64),
 }
 
 struct Actor<P> {
@@ -88,6 +95,9 @@
     ids: HashSet<Arc<str>>,
     attempts: HashMap<Ticket, Out>,
     probes: HashMap<u64, (ServerId, Micros)>,
+    /// Requests whose clients have left and whose attempts have not all been told of.
+    let_go: Ledger,
+    drains: Drains,
     next_probe: u64,
     alarms: BinaryHeap<Reverse<(Micros, u64, Alarm)>>,
     alarm_count: u64,
@@ -130,6 +140,8 @@
         ids: HashSet::new(),
         attempts: HashMap::new(),
         probes: HashMap::new(),
+        let_go: Ledger::default(),
+        drains: Drains::default(),
         next_probe: 0,
         alarms: BinaryHeap::new(),
         alarm_count: 0,
@@ -159,11 +171,15 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Ask(number, ask, reply) => self.ask(number, *ask, reply),
-            Message::Left(number) => self.drop_request(number, None),
+            Message::Left(number) => self.left(number),
             Message::Ended(ticket, end) => self.ended(ticket, end),
             Message::Probed(number, result) => self.probed(number, result),
             Message::Members { full, members } => self.members(full, members),
             Message::Written => self.written += 1,
+            Message::Forgotten(ticket, how) => self.told(ticket.request, how),
+            Message::Drain(name, on, reply) => {
+                let _ = reply.send(self.drain(&name, on)); // who has gone wants none
+            }
             Message::Settings(settings) => self.renew(*settings),
             Message::Figures(reply) => {
                 let _ = reply.send(self.figures()); // who has gone wants none
@@ -223,6 +239,7 @@
             attempts: self.attempts.len(),
             alarms: self.alarms.len(),
             probes: self.probes.len(),
+            let_go: self.let_go.waiting(),
             servers: self.servers.len().max(self.names.len()),
             mailbox: self.reports.0.max_capacity() - self.reports.0.capacity(),
             classes: self.classes.len(),
@@ -245,6 +262,10 @@
                 Alarm::Expiry(number) if !self.expired(number) => self.watch_expiry(number),
                 Alarm::Expiry(number) => self.expire(number),
                 Alarm::Probe(number) => self.probed(number, Err(Broken::Written)),
+                Alarm::LetGo(number) => {
+                    let settled = self.let_go.overdue(number);
+                    self.count_left(settled);
+                }
             }
             self.decide();
         }
@@ -314,6 +335,10 @@
             let (wait, cause) = (Some(WHEN_FULL), Cause::Busy);
             return self.reply(ask.class, reply, Answer::Refused { wait, cause });
         }
+        if reply.is_closed() {
+            // Its client left while it waited in the mailbox: nothing is sent for nobody.
+            return self.count_left(Some((self.classes[ask.class].clone(), Proof::NeverRan)));
+        }
         // Guards the first of two with one id: servers would take the second for it, or give either the
         // other's answer.
         if !self.ids.insert(ask.id.clone()) {
@@ -363,6 +388,33 @@
         self.drop_request(number, Some(answer));
     }
 
+    /// The client has left: nothing new is sent for it, and what was sent is counted by what it proves.
+    fn left(&mut self, number: u64) {
+        let Some(live) = self.live.get_mut(&number).filter(|l| l.reply.is_some()) else { return };
+        live.reply = None;
+        let (class, out) = (self.classes[live.ask.class].clone(), live.out as usize);
+        let ran_before = live.may_have_run > live.out;
+        match self.let_go.left(number, &class, ran_before, out) {
+            Some(proof) => self.count_left(Some((class, proof))),
+            None => self.alarm(self.clock.now() + TOLD_WITHIN, Alarm::LetGo(number)),
+        }
+        self.drop_request(number, None);
+    }
+
+    fn told(&mut self, number: u64, how: Broken) {
+        let settled = self.let_go.told(number, how);
+        self.count_left(settled);
+    }
+
+    fn count_left(&mut self, settled: Option<(Arc<str>, Proof)>) {
+        let Some((class, proof)) = settled else { return };
+        let counts = self.counts.entry(class).or_default();
+        match proof {
+            Proof::NeverRan => counts.left_unrun += 1,
+            Proof::MayHaveRun => counts.left_may_have_run += 1,
+        }
+    }
+
     /// Answers a request that the module has not ended, or lets it go with its client, and tells the module.
     fn drop_request(&mut self, number: u64, answer: Option<Answer>) {
         let Some(live) = self.live.get_mut(&number) else { return };
@@ -444,7 +496,7 @@
     fn revive(&mut self, server: ServerId) {
         if let Some(known) = self.servers.get_mut(&server).filter(|s| s.mailbox.is_closed() && !s.gone()) {
             log!("server {}: its actor had ended", known.listing.name);
-            known.mailbox = self.peers.open(server, &known.listing, self.reports.clone());
+            known.mailbox = open(&mut self.peers, server, &known.listing, &self.reports);
         }
     }
 
@@ -457,6 +509,7 @@
     }
 
     fn ended(&mut self, ticket: Ticket, end: End) {
+        self.told(ticket.request, proven(&end));
         if !self.attempts.contains_key(&ticket) {
             return;
         }
@@ -558,7 +611,22 @@
 
     // ---- the list ----
 
-    fn members(&mut self, full: bool, members: Vec<Listing>) {
+    /// Has a listed server drain by another word than its source's, or no longer.
+    fn drain(&mut self, name: &Arc<str>, on: bool) -> bool {
+        let listing = self.names.get(name).and_then(|id| self.servers.get(id)).map(|s| s.listing.clone());
+        let Some(mut listing) = listing.filter(|l| l.state != MemberState::Gone) else { return false };
+        if on {
+            self.drains.begin(&listing);
+        } else if self.drains.end(name) {
+            // What its source last said is not kept: it runs until that says otherwise.
+            listing.state = MemberState::Running;
+        }
+        self.members(false, vec![listing]);
+        true
+    }
+
+    fn members(&mut self, full: bool, mut members: Vec<Listing>) {
+        members.iter_mut().for_each(|listing| self.drains.apply(listing));
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let (mut told, mut dead) = (Vec::new(), Vec::new());
         if full {
@@ -594,7 +662,7 @@
                 // Not known, elsewhere, or a new process: connections to an old one are worth nothing, and
                 // on a machine that vanished they would stay open and silent.
                 _ => {
-                    let mailbox = self.peers.open(server, listing, self.reports.clone());
+                    let mailbox = open(&mut self.peers, server, listing, &self.reports);
                     self.servers.insert(server, Server { listing: listing.clone(), since, mailbox });
                 }
             }
@@ -615,6 +683,8 @@
         self.servers.retain(|id, s| !s.gone() || attempts.values().any(|out| out.server == *id));
         let servers = &self.servers;
         self.names.retain(|_, id| servers.contains_key(id));
+        let names = &self.names;
+        self.drains.keep(|name| names.contains_key(name));
     }
 
     /// The number by which the module knows a server. It goes by the name alone, so that all directors agree;
@@ -632,6 +702,27 @@
     }
 }
 
+/// Opens a peer. Guards the actor against a transport of the host's that panics: its server then has a
+/// mailbox that nobody reads, attempts there end unsent, and each tries to open it anew.
+fn open<P: Peers>(
+    peers: &mut P,
+    server: ServerId,
+    listing: &Listing,
+    reports: &Reports,
+) -> mpsc::Sender<Order> {
+    let opened = catch_unwind(AssertUnwindSafe(|| peers.open(server, listing, reports.clone())));
+    opened.unwrap_or_else(|_| mpsc::channel(1).0)
+}
+
+/// What an end proves of whether the attempt ran.
+fn proven(end: &End) -> Broken {
+    match end {
+        Ok(Reply { verdict: Verdict::Miss | Verdict::Full | Verdict::Stale, .. }) => Broken::Unwritten,
+        Ok(_) => Broken::Answering,
+        Err(broken) => *broken,
+    }
+}
+
 /// A load report in the settings' order; empty unless all of it is there.
 fn report(settings: &Settings, gauges: &[(String, f64)]) -> Vec<f64> {
     let value = |name: &String| gauges.iter().find(|g| g.0 == *name).map(|g| g.1);
--- /dev/null
+++ b/src/core/cancel.rs
@@ -0,0 +1,118 @@
+//! What became of requests whose clients let go of them: a state machine without clock or I/O.
+//!
+//! A client may leave at any point. Nothing new is sent for it from then on, but what was sent may have run,
+//! and that is told only by those who carry the attempts: whether one was taken out of a queue, or was on the
+//! wire. The ledger waits for their word and keeps to the safe side where none comes.
+
+use super::Broken;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Requests that wait for word at a time; beyond that one counts as having run.
+const MOST: usize = 4096;
+
+/// What is proven of a request that was let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// Nothing of it ran anywhere.
+    NeverRan,
+    /// It may have run; a class that must not run twice is not to be asked for again.
+    MayHaveRun,
+}
+
+/// Requests that were let go and whose attempts have not all been told of.
+#[derive(Debug, Default)]
+pub struct Ledger(HashMap<u64, Waiting>);
+
+#[derive(Debug)]
+struct Waiting {
+    class: Arc<str>,
+    /// Attempts that nothing was told of yet.
+    out: usize,
+}
+
+impl Ledger {
+    /// A client let go of a request with so many attempts out, after others that may have run or not. Returns
+    /// what is proven already; none: the ledger waits for [`told`](Self::told) or [`overdue`](Self::overdue).
+    pub fn left(&mut self, request: u64, class: &Arc<str>, ran_before: bool, out: usize) -> Option<Proof> {
+        if ran_before {
+            return Some(Proof::MayHaveRun);
+        }
+        if out == 0 {
+            return Some(Proof::NeverRan);
+        }
+        if self.0.len() >= MOST {
+            return Some(Proof::MayHaveRun);
+        }
+        self.0.insert(request, Waiting { class: class.clone(), out });
+        None
+    }
+
+    /// How far one of its attempts had come when it ended or was called off. Returns the request's class and
+    /// proof once that is settled.
+    pub fn told(&mut self, request: u64, how: Broken) -> Option<(Arc<str>, Proof)> {
+        let waiting = self.0.get_mut(&request)?;
+        waiting.out -= 1;
+        let proof = match how.never_ran() {
+            false => Proof::MayHaveRun,
+            true if waiting.out == 0 => Proof::NeverRan,
+            true => return None,
+        };
+        self.0.remove(&request).map(|w| (w.class, proof))
+    }
+
+    /// No word came in time: a peer that says nothing proves nothing.
+    pub fn overdue(&mut self, request: u64) -> Option<(Arc<str>, Proof)> {
+        self.0.remove(&request).map(|w| (w.class, Proof::MayHaveRun))
+    }
+
+    /// Requests that wait for word.
+    pub fn waiting(&self) -> usize {
+        self.0.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    const HOW: [Broken; 5] =
+        [Broken::NotConnected, Broken::Unwritten, Broken::PartlyWritten, Broken::Written, Broken::Answering];
+
+    #[test]
+    fn what_is_known_at_once_is_told_at_once() {
+        let (mut ledger, class) = (Ledger::default(), "filing".into());
+        assert_eq!(ledger.left(1, &class, false, 0), Some(Proof::NeverRan));
+        assert_eq!(ledger.left(2, &class, true, 1), Some(Proof::MayHaveRun));
+        assert_eq!(ledger.told(2, Broken::Unwritten), None, "what comes later changes nothing");
+        assert_eq!(ledger.waiting(), 0);
+    }
+
+    #[test]
+    fn silence_counts_as_having_run_and_a_full_ledger_too() {
+        let (mut ledger, class): (_, Arc<str>) = (Ledger::default(), "filing".into());
+        assert_eq!(ledger.left(0, &class, false, 1), None);
+        assert_eq!(ledger.overdue(0), Some((class.clone(), Proof::MayHaveRun)));
+        assert_eq!(ledger.overdue(0), None);
+        for request in 0..MOST as u64 {
+            assert_eq!(ledger.left(request, &class, false, 1), None);
+        }
+        assert_eq!(ledger.left(MOST as u64, &class, false, 1), Some(Proof::MayHaveRun));
+    }
+
+    quickcheck! {
+        /// Never ran is said only where every attempt proves it, and exactly one verdict is given.
+        fn the_verdict_is_the_worst_of_all_attempts(ends: Vec<u8>) -> bool {
+            let (mut ledger, class) = (Ledger::default(), "filing".into());
+            if ends.is_empty() {
+                return ledger.left(7, &class, false, 0) == Some(Proof::NeverRan);
+            }
+            let ends: Vec<Broken> = ends.iter().map(|n| HOW[usize::from(*n) % HOW.len()]).collect();
+            let none = ledger.left(7, &class, false, ends.len()).is_none();
+            let told: Vec<Proof> = ends.iter().filter_map(|how| ledger.told(7, *how)).map(|t| t.1).collect();
+            let worst = if ends.iter().all(|e| e.never_ran()) { Proof::NeverRan } else { Proof::MayHaveRun };
+            none && told == [worst] && ledger.waiting() == 0
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! never waits for any of them.
 
 mod actor;
+pub mod cancel;
 mod clock;
 
 pub use actor::{start, Running};
@@ -81,6 +82,8 @@
     Expired,
     /// A request with the same id is held already.
     Duplicate,
+    /// The core has ended, or is about to.
+    Ended,
 }
 
 /// The one final answer to an [`Ask`].
@@ -275,6 +278,11 @@
     },
     /// An attempt was written whole.
     Written,
+    /// How far an attempt had come when its peer gave it up, as it was told to.
+    Forgotten(Ticket, Broken),
+    /// A server drains, whatever its source says of it; or that no longer holds. The reply tells whether it
+    /// is listed.
+    Drain(Arc<str>, bool, oneshot::Sender<bool>),
     /// Other settings, for requests to come.
     Settings(Box<Settings>),
     /// Asks for the figures.
@@ -299,6 +307,10 @@
     pub refused: u64,
     /// Requests failed.
     pub failed: u64,
+    /// Requests let go by their clients of which nothing ran.
+    pub left_unrun: u64,
+    /// Requests let go by their clients that may have run.
+    pub left_may_have_run: u64,
 }
 
 /// What the core tells of itself.
@@ -327,6 +339,8 @@
     pub alarms: usize,
     /// Probes that are out.
     pub probes: usize,
+    /// Requests let go by their clients whose peers have not told how far they came; each for 1 s at most.
+    pub let_go: usize,
     /// Servers known, and those gone that still have attempts out.
     pub servers: usize,
     /// Messages that wait in the mailbox, of 4,096 at most.
@@ -338,7 +352,8 @@
 impl Tables {
     /// Whether none has more entries than in `most`.
     pub fn within(&self, most: &Tables) -> bool {
-        let list = |t: &Tables| [t.live, t.attempts, t.alarms, t.probes, t.servers, t.mailbox, t.classes];
+        let list =
+            |t: &Tables| [t.live, t.attempts, t.alarms, t.probes, t.let_go, t.servers, t.mailbox, t.classes];
         list(self).iter().zip(list(most)).all(|(have, most)| *have <= most)
     }
 }
@@ -349,6 +364,12 @@
     fn open(&mut self, server: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order>;
 }
 
+impl Peers for Box<dyn Peers + Send> {
+    fn open(&mut self, server: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order> {
+        (**self).open(server, listing, reports)
+    }
+}
+
 /// Where peers and the list report. A full mailbox makes them wait: the actor waits for nobody, so it
 /// empties.
 #[derive(Clone, Debug)]
@@ -360,6 +381,11 @@
         Reports(mailbox)
     }
 
+    /// Hands a message over if there is room for it; whether there was.
+    pub fn try_send(&self, message: Message) -> bool {
+        self.0.try_send(message).is_ok()
+    }
+
     /// Hands a message over; an actor that has ended wants none.
     pub async fn send(&self, message: Message) {
         let _ = self.0.send(message).await;
@@ -399,8 +425,26 @@
         let request = self.next.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
         // Full: the request is turned away at once, which is harmless as nothing ran.
-        let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply)).is_ok();
-        Pending { request, answer: taken.then_some(answer), mailbox: self.mailbox.clone() }
+        let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply));
+        let cause = match &taken {
+            Err(mpsc::error::TrySendError::Closed(_)) => Cause::Ended,
+            _ => Cause::Busy,
+        };
+        let answer = taken.is_ok().then_some(answer);
+        Pending { request, answer, cause, mailbox: self.mailbox.clone() }
+    }
+
+    /// Whether the actor has ended.
+    pub fn has_ended(&self) -> bool {
+        self.mailbox.is_closed()
+    }
+
+    /// Has a server drain, or no longer, whatever its source says; whether it is listed. None where the actor
+    /// has ended.
+    pub async fn drain(&self, name: &str, on: bool) -> Option<bool> {
+        let (reply, listed) = oneshot::channel();
+        self.mailbox.send(Message::Drain(name.into(), on, reply)).await.ok()?;
+        listed.await.ok()
     }
 
     /// Where reports go.
@@ -414,6 +458,8 @@
 pub struct Pending {
     request: u64,
     answer: Option<oneshot::Receiver<Answer>>,
+    /// Why it was not taken, where it was not.
+    cause: Cause,
     mailbox: mpsc::Sender<Message>,
 }
 
@@ -422,12 +468,13 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
         let Some(answer) = self.answer.as_mut() else {
-            return Poll::Ready(Answer::Refused { wait: Some(WHEN_FULL), cause: Cause::Busy });
+            let wait = (self.cause == Cause::Busy).then_some(WHEN_FULL);
+            return Poll::Ready(Answer::Refused { wait, cause: self.cause });
         };
         let answer = std::task::ready!(Pin::new(answer).poll(cx));
         self.answer = None;
         // An actor that has ended can't tell what ran.
-        Poll::Ready(answer.unwrap_or(Answer::Failed(Cause::Upstream)))
+        Poll::Ready(answer.unwrap_or(Answer::Failed(Cause::Ended)))
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,18 +1,16 @@
 //! The daemon: a configuration, a source of members, the core and its fronts, put together.
 
-pub mod config;
-
 use crate::api::Settings;
-use crate::core::{self, Clock, Message, Reports};
+use crate::core::{Clock, Message, Reports};
+use crate::director::{start_core, Config};
 use crate::fronts::ops::{self, Door, Reloads};
 use crate::fronts::platform::Platform;
 use crate::fronts::serve::{self, Closing, Places, Shared};
 use crate::fronts::signed::{self, parse_keys, FrontFile, Metrics, Signed};
 use crate::signed::Counts;
 use crate::sources::watched::Watched;
-use crate::sources::{board, xds};
+use crate::sources::{Board, Membership, XdsFile};
 use crate::transport::servers::Servers;
-use config::Config;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -43,21 +41,16 @@
     let Config { listen, ops, seed, sockets, settings, transport, rev, known, .. } = config;
     let clock = Clock::system();
     let xds = second.as_ref().and_then(|file| file.xds.clone());
-    let listed = xds.map(|path| Watched::open(path, xds::parse)).transpose()?;
     let keyed = second.map(|file| Ok::<_, String>((Watched::open(file.keys.clone(), parse_keys)?, file)));
     let keyed = keyed.transpose()?;
     // Where the list comes from a file, the board tells of purges only.
-    let purges_only = listed.is_some();
-    let known = known.into_iter().filter_map(|notice| notice.message(purges_only));
-    let (list_file, list) = listed.unzip();
-    let known = list.into_iter().map(listed_members).chain(known).collect();
-    let running = core::start(settings, seed, clock, Servers::new(transport, sockets * 2 / 5), known)
-        .map_err(|e| e.to_string())?;
+    let purges_only = xds.is_some();
+    let mut sources: Vec<Box<dyn Membership>> = Vec::new();
+    sources.extend(xds.map(|path| Box::new(XdsFile::new(path)) as Box<dyn Membership>));
+    sources.push(Box::new(Board { address: board, rev, known, purges_only }));
+    let servers = Box::new(Servers::new(transport, sockets * 2 / 5));
+    let running = start_core(settings, seed, clock, servers, sources)?;
     let core = running.core;
-    if let Some(file) = list_file {
-        tokio::task::spawn_local(follow_members(file, core.reports()));
-    }
-    tokio::task::spawn_local(board::follow(board, rev, purges_only, core.reports()));
     let reloads = Rc::new(Reloads::default());
     tokio::task::spawn_local(take_over(first, configs, to_board, core.reports(), reloads.clone()));
     let (close, closing) = watch::channel(Closing::No);
@@ -148,15 +141,3 @@
         board.send_if_modified(|at| std::mem::replace(at, config.board.clone()) != config.board);
     }
 }
-
-fn listed_members(update: xds::Update) -> Message {
-    Message::Members { full: true, members: update.members }
-}
-
-/// Watches a list in xDS form; each good version of it takes the place of the one before.
-pub async fn follow_members(mut file: Watched, reports: Reports) {
-    loop {
-        let update = file.next(xds::parse).await;
-        reports.send(listed_members(update)).await;
-    }
-}
--- /dev/null
+++ b/src/director/builder.rs
@@ -0,0 +1,159 @@
+//! How a director is put together and its thread started.
+
+use super::{BuildError, Config, Control, Director, Shutdown};
+use crate::api::{Settings, SettingsError};
+use crate::core::{self, Clock, Core, Peers, Running};
+use crate::settings::Transport;
+use crate::sources::{Board, Membership};
+use crate::transport::servers::Servers;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+
+/// Descriptors that connections to servers may hold, unless told otherwise.
+const DESCRIPTORS: usize = 256;
+/// How often a shutdown looks whether all is answered.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// The parts of a director before it runs.
+pub struct Builder {
+    settings: Settings,
+    seed: u64,
+    clock: Clock,
+    sources: Vec<Box<dyn Membership>>,
+    peers: Box<dyn Peers + Send>,
+}
+
+impl Builder {
+    pub(super) fn new(settings: Settings) -> Self {
+        let wire = Transport {
+            connect_timeout: Duration::from_millis(400),
+            idle: Duration::from_secs(30),
+            streams: 100,
+        };
+        Builder {
+            settings,
+            seed: std::process::id().into(),
+            clock: Clock::system(),
+            sources: Vec::new(),
+            peers: Box::new(Servers::new(wire, DESCRIPTORS)),
+        }
+    }
+
+    pub(super) fn from_config(config: Config) -> Self {
+        let Config { board, seed, sockets, settings, transport, rev, known, .. } = config;
+        // The address stays: nobody else holds the sender.
+        let address = watch::channel(board).1;
+        Builder::new(settings)
+            .seed(seed)
+            .transport(Servers::new(transport, sockets * 2 / 5))
+            .membership(Board { address, rev, known, purges_only: false })
+    }
+
+    /// Where members come from; called again it adds a further source. Without one there are only those that
+    /// [`Director::members`] tells of.
+    pub fn membership(mut self, source: impl Membership) -> Self {
+        self.sources.push(Box::new(source));
+        self
+    }
+
+    /// How servers are reached; the line protocol unless told otherwise.
+    pub fn transport(mut self, peers: impl Peers + Send + 'static) -> Self {
+        self.peers = Box::new(peers);
+        self
+    }
+
+    /// The clock; the system's unless told otherwise.
+    pub fn clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
+    /// For random numbers; two directors in one process should differ in it.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Starts the director's thread and waits until it serves, some milliseconds. Settings, sources and files
+    /// that can't be used end the start with a line that says why.
+    pub fn start(self) -> Result<Director, BuildError> {
+        let (ready, started) = sync_channel(1);
+        let (control, orders) = mpsc::unbounded_channel();
+        std::thread::Builder::new().name("foxhold".into()).spawn(move || self.run(ready, orders))?;
+        let core = started.recv().map_err(|_| BuildError::Ended)??;
+        Ok(Director::new(core, control))
+    }
+
+    fn run(self, ready: SyncSender<Result<Core, BuildError>>, mut orders: mpsc::UnboundedReceiver<Control>) {
+        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => return drop(ready.send(Err(error.into()))),
+        };
+        let tasks = LocalSet::new();
+        let Builder { settings, seed, clock, sources, peers } = self;
+        let done = tasks.block_on(&runtime, async {
+            let started = start_core(settings, seed, clock, peers, sources).map_err(BuildError::Config);
+            let (core, mut task) = match started {
+                Ok(Running { core, task }) => (core, task),
+                Err(error) => {
+                    let _ = ready.send(Err(error));
+                    return None;
+                }
+            };
+            if ready.send(Ok(core.clone())).is_err() {
+                return None;
+            }
+            tokio::select! {
+                order = orders.recv() => match order {
+                    Some(Control::Shutdown(deadline, reply)) => {
+                        Some((wind_down(&core, deadline).await, reply))
+                    }
+                    None => None, // the last handle was dropped
+                },
+                _ = &mut task => None,
+            }
+        });
+        // Tasks go first, each on this thread, and with them every connection.
+        drop(tasks);
+        drop(runtime);
+        if let Some((shutdown, reply)) = done {
+            let _ = reply.send(shutdown); // who asked may have gone
+        }
+    }
+}
+
+/// Waits until all is answered or the deadline is over.
+async fn wind_down(core: &Core, deadline: Duration) -> Shutdown {
+    let begun = Instant::now();
+    let live = || async { core.figures().await.map_or(0, |f| f.tables.live) };
+    let open = live().await;
+    let mut left = open;
+    while left > 0 && begun.elapsed() < deadline {
+        tokio::time::sleep(LOOK.min(deadline)).await;
+        left = live().await;
+    }
+    Shutdown { open, cut_off: left, took: begun.elapsed() }
+}
+
+/// Opens the sources and starts the core on the present `LocalSet`, with what they know, and follows them:
+/// the same for the daemon and the library. An error is one plain line.
+pub fn start_core(
+    settings: Settings,
+    seed: u64,
+    clock: Clock,
+    peers: Box<dyn Peers + Send>,
+    mut sources: Vec<Box<dyn Membership>>,
+) -> Result<Running, String> {
+    let mut known = Vec::new();
+    for source in &mut sources {
+        known.extend(source.known()?);
+    }
+    let running =
+        core::start(settings, seed, clock, peers, known).map_err(|e: SettingsError| e.to_string())?;
+    for source in sources {
+        tokio::task::spawn_local(source.follow(running.core.reports()));
+    }
+    Ok(running)
+}
--- a/src/fronts/ops.rs
+++ b/src/fronts/ops.rs
@@ -130,7 +130,7 @@
 
     fn show(&self, figures: Figures) -> String {
         let class = |c: ClassCounts| {
-            let ClassCounts { served, refused, failed } = c;
+            let ClassCounts { served, refused, failed, .. } = c;
             ShownClass { served, refused, failed }
         };
         json::to_string(&Shown {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,9 @@
 pub mod core;
 pub mod daemon;
 mod decide;
+pub mod director;
 pub mod fronts;
+pub mod membership;
 #[cfg(feature = "middleware")]
 pub mod middleware;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,8 @@
 //! The director: reads its configuration, serves until SIGTERM, and then ends what it has taken. On SIGHUP it
 //! reads the configuration anew.
 
-use foxhold::daemon::{self, config::Config};
+use foxhold::daemon;
+use foxhold::director::Config;
 use foxhold::fronts::signed::FrontFile;
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,92 @@
+//! What is made of several words about one member: decisions without clock or I/O.
+//!
+//! Sources report what they see; an operator or a host application may say that a server drains. That word
+//! stands above every source for as long as the same process runs there, so that a source that lags, or a
+//! full list that comes a moment later, does not put the server back into service.
+
+use crate::api::{MemberState, Micros};
+use crate::core::Listing;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Drains that were told beside the sources, at most; the list itself bounds it, for a name that no source
+/// lists is not kept.
+#[derive(Debug, Default)]
+pub struct Drains(HashMap<Arc<str>, Micros>);
+
+impl Drains {
+    /// Puts a member, as its source last listed it, into drain.
+    pub fn begin(&mut self, listing: &Listing) {
+        self.0.insert(listing.name.clone(), listing.since);
+    }
+
+    /// Takes the word back; whether there was one.
+    pub fn end(&mut self, name: &str) -> bool {
+        self.0.remove(name).is_some()
+    }
+
+    /// What a source's word about a member comes to.
+    pub fn apply(&mut self, listing: &mut Listing) {
+        let Some(since) = self.0.get(&listing.name) else { return };
+        if listing.state == MemberState::Gone || listing.since > *since {
+            // The process that was to drain has gone, and another may run under its name.
+            self.0.remove(&listing.name);
+        } else if listing.state == MemberState::Running {
+            listing.state = MemberState::Draining;
+        }
+    }
+
+    /// Forgets all that is not listed any more.
+    pub fn keep(&mut self, listed: impl Fn(&Arc<str>) -> bool) {
+        self.0.retain(|name, _| listed(name));
+    }
+
+    /// How many are in force.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listing(state: MemberState, since: Micros) -> Listing {
+        let (zone, kind) = ("edge".into(), "cache".into());
+        Listing { name: "a".into(), address: "x".into(), zone, kind, cell: 0, state, size: 1.0, since }
+    }
+
+    fn after(drains: &mut Drains, state: MemberState, since: Micros) -> MemberState {
+        let mut listing = listing(state, since);
+        drains.apply(&mut listing);
+        listing.state
+    }
+
+    #[test]
+    fn a_drain_stands_above_the_sources_until_another_process_runs_there() {
+        let mut drains = Drains::default();
+        drains.begin(&listing(MemberState::Running, 5));
+        assert_eq!(after(&mut drains, MemberState::Running, 5), MemberState::Draining);
+        assert_eq!(after(&mut drains, MemberState::Running, 5), MemberState::Draining, "each time");
+        assert_eq!(after(&mut drains, MemberState::Running, 6), MemberState::Running, "a new process");
+        assert_eq!(after(&mut drains, MemberState::Running, 5), MemberState::Running, "the word is spent");
+        drains.begin(&listing(MemberState::Running, 5));
+        assert_eq!(after(&mut drains, MemberState::Gone, 5), MemberState::Gone);
+        assert!(drains.is_empty());
+    }
+
+    #[test]
+    fn it_can_be_taken_back_and_does_not_outlive_the_list() {
+        let mut drains = Drains::default();
+        drains.begin(&listing(MemberState::Running, 5));
+        assert!(drains.end("a") && !drains.end("a"));
+        drains.begin(&listing(MemberState::Running, 5));
+        drains.keep(|_| false);
+        assert_eq!(drains.len(), 0);
+    }
+}
--- a/src/signed/request.rs
+++ b/src/signed/request.rs
@@ -99,7 +99,7 @@
         Ok(Answer::Unchanged(tag)) => Worded { tag, ..plain(304, "unchanged") },
         Ok(Answer::Refused { wait, cause }) => match cause {
             Cause::Busy => Worded { retry_after: Some(seconds(wait)), ..plain(503, "refused") },
-            Cause::Upstream | Cause::Duplicate => {
+            Cause::Upstream | Cause::Duplicate | Cause::Ended => {
                 Worded { retry_after: Some(seconds(wait)), ..plain(502, "upstream") }
             }
             Cause::Deadline => plain(504, "deadline"),
@@ -109,7 +109,9 @@
         // It may have run: a 403 would say that it did not.
         Ok(Answer::Failed(Cause::Expired)) => plain(504, "expired_unknown"),
         // Ids on this front are the core's own, so that no two are alike.
-        Ok(Answer::Failed(Cause::Busy | Cause::Upstream | Cause::Duplicate)) => plain(502, "upstream"),
+        Ok(Answer::Failed(Cause::Busy | Cause::Upstream | Cause::Duplicate | Cause::Ended)) => {
+            plain(502, "upstream")
+        }
         Err(denied) => plain(403, denied.reason()),
     }
 }
--- a/src/sources/mod.rs
+++ b/src/sources/mod.rs
@@ -3,3 +3,103 @@
 pub mod board;
 pub mod watched;
 pub mod xds;
+
+use crate::core::{Listing, Message, Reports};
+use std::future::Future;
+use std::path::PathBuf;
+use std::pin::Pin;
+use tokio::sync::watch;
+use watched::Watched;
+
+/// A task on the director's thread.
+pub type Task = Pin<Box<dyn Future<Output = ()>>>;
+
+/// A source of members, or of purges. It is opened before the director serves and then followed for as long
+/// as it runs; an end of its task leaves the list as it is.
+pub trait Membership: Send + 'static {
+    /// What is known before anything else. An error ends the start and is one plain line.
+    fn known(&mut self) -> Result<Vec<Message>, String>;
+
+    /// Reports what changes.
+    fn follow(self: Box<Self>, reports: Reports) -> Task;
+}
+
+/// The host application itself: what it lists at the start; all else it says through the director's handle.
+#[derive(Debug, Default)]
+pub struct Told(pub Vec<Listing>);
+
+impl Membership for Told {
+    fn known(&mut self) -> Result<Vec<Message>, String> {
+        Ok(vec![Message::Members { full: true, members: std::mem::take(&mut self.0) }])
+    }
+
+    fn follow(self: Box<Self>, _: Reports) -> Task {
+        Box::pin(std::future::ready(()))
+    }
+}
+
+/// The platform's notice board.
+#[derive(Debug)]
+pub struct Board {
+    /// Where it listens; a later address is turned to at once. Empty: nowhere.
+    pub address: watch::Receiver<String>,
+    /// The number of the last event in `known`.
+    pub rev: u64,
+    /// The events of the start.
+    pub known: Vec<board::Notice>,
+    /// Tell of purges only, for the members come from elsewhere.
+    pub purges_only: bool,
+}
+
+impl Membership for Board {
+    fn known(&mut self) -> Result<Vec<Message>, String> {
+        let purges_only = self.purges_only;
+        Ok(std::mem::take(&mut self.known).into_iter().filter_map(|n| n.message(purges_only)).collect())
+    }
+
+    fn follow(self: Box<Self>, reports: Reports) -> Task {
+        Box::pin(board::follow(self.address, self.rev, self.purges_only, reports))
+    }
+}
+
+/// A file in xDS form, read again four times a second.
+#[derive(Debug)]
+pub struct XdsFile {
+    path: PathBuf,
+    file: Option<Watched>,
+}
+
+impl XdsFile {
+    /// Takes the members from this file.
+    pub fn new(path: impl Into<PathBuf>) -> Self {
+        XdsFile { path: path.into(), file: None }
+    }
+}
+
+impl Membership for XdsFile {
+    fn known(&mut self) -> Result<Vec<Message>, String> {
+        let (file, update) = Watched::open(self.path.clone(), xds::parse)?;
+        self.file = Some(file);
+        Ok(vec![listed(update)])
+    }
+
+    fn follow(self: Box<Self>, reports: Reports) -> Task {
+        Box::pin(async move {
+            if let Some(file) = self.file {
+                follow_file(file, reports).await;
+            }
+        })
+    }
+}
+
+fn listed(update: xds::Update) -> Message {
+    Message::Members { full: true, members: update.members }
+}
+
+/// Watches a list in xDS form; each good version of it takes the place of the one before.
+pub async fn follow_file(mut file: Watched, reports: Reports) {
+    loop {
+        let update = file.next(xds::parse).await;
+        reports.send(listed(update)).await;
+    }
+}
--- /dev/null
+++ b/src/transport/host.rs
@@ -0,0 +1,108 @@
+//! A transport that the host application writes: one asynchronous function from what is wanted to how it
+//! ended.
+//!
+//! Each attempt is a task of its own on the director's thread. A task that panics, is dropped or never ends
+//! is an attempt that may have run; it takes nothing else with it.
+
+use crate::api::ServerId;
+use crate::core::{Broken, End, Health, Listing, Message, Order, Peers, Reports, Ticket, Want};
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// Orders that wait for a server's actor; the core ends attempts that find no place as not sent.
+const MAILBOX: usize = 512;
+
+/// What a host's function gives back.
+pub type Boxed<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// How servers are reached, in the host's own way.
+pub trait Exchange: Send + Sync + 'static {
+    /// Carries one attempt to a server and says how it ended. The future is dropped where the attempt is
+    /// called off; it runs on the director's thread and must not block it. What it can't prove not to have
+    /// run it must end with [`Broken::Written`]: a write is sent again only after an end that proves it.
+    fn exchange(&self, server: &Listing, want: Want) -> Boxed<End>;
+
+    /// Asks a server whether it is well. Unless it is written anew, every server is.
+    fn probe(&self, _server: &Listing) -> Boxed<Result<Health, Broken>> {
+        Box::pin(std::future::ready(Ok(Health { well: true, gauges: Vec::new() })))
+    }
+}
+
+/// An [`Exchange`] as the core's peers.
+#[derive(Debug)]
+pub struct Host<E>(Arc<E>);
+
+impl<E: Exchange> Host<E> {
+    /// Reaches servers by this.
+    pub fn new(exchange: E) -> Self {
+        Host(Arc::new(exchange))
+    }
+}
+
+impl<E: Exchange> Peers for Host<E> {
+    fn open(&mut self, _: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order> {
+        let (mailbox, orders) = mpsc::channel(MAILBOX);
+        tokio::task::spawn_local(follow(self.0.clone(), listing.clone(), reports, orders));
+        mailbox
+    }
+}
+
+async fn follow<E: Exchange>(
+    exchange: Arc<E>,
+    server: Listing,
+    reports: Reports,
+    mut orders: mpsc::Receiver<Order>,
+) {
+    let mut under_way: HashMap<Ticket, AbortHandle> = HashMap::new();
+    while let Some(order) = orders.recv().await {
+        under_way.retain(|_, task| !task.is_finished());
+        match order {
+            Order::Want(want) => {
+                let (ticket, exchange, server) = (want.ticket, exchange.clone(), server.clone());
+                let mut last =
+                    LastWord { said: false, ticket, reports: reports.clone(), how: Broken::Unwritten };
+                let task = tokio::task::spawn_local(async move {
+                    last.how = Broken::Written;
+                    let end = exchange.exchange(&server, want).await;
+                    last.said = true;
+                    last.reports.send(Message::Ended(ticket, end)).await;
+                });
+                under_way.insert(ticket, task.abort_handle());
+            }
+            Order::Forget(ticket) => {
+                // Its last word tells the core whether it had begun.
+                if let Some(task) = under_way.remove(&ticket) {
+                    task.abort();
+                }
+            }
+            Order::Probe(number) => {
+                let (exchange, server, reports) = (exchange.clone(), server.clone(), reports.clone());
+                tokio::task::spawn_local(async move {
+                    let health = exchange.probe(&server).await;
+                    reports.send(Message::Probed(number, health)).await;
+                });
+            }
+        }
+    }
+}
+
+/// Says how far an attempt had come, where its task ends without a word.
+struct LastWord {
+    said: bool,
+    ticket: Ticket,
+    reports: Reports,
+    how: Broken,
+}
+
+impl Drop for LastWord {
+    fn drop(&mut self) {
+        if !self.said {
+            // Full: the core's own time-out ends the attempt.
+            self.reports.try_send(Message::Ended(self.ticket, Err(self.how)));
+        }
+    }
+}
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -294,6 +294,8 @@
         let before = self.queue.len();
         self.queue.retain(|o| !matches!(o, Order::Want(w) if w.ticket == ticket));
         if let Some(open) = self.open.remove(&ticket) {
+            // What is in the out buffer goes out whole, before the word that gives it up.
+            self.reports.send(Message::Forgotten(ticket, Broken::Written)).await;
             if open.since.elapsed() >= SILENCE && self.last_read <= open.since {
                 let _ = self.actor.send(News::Suspect(self.number)).await;
             }
@@ -307,6 +309,7 @@
             self.forgotten.push_back(open.id);
             let _ = self.actor.send(News::Done(self.number, ticket)).await;
         } else if self.queue.len() < before {
+            self.reports.send(Message::Forgotten(ticket, Broken::Unwritten)).await;
             let _ = self.actor.send(News::Done(self.number, ticket)).await;
         }
     }
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -4,7 +4,7 @@
 
 use foxhold::api::*;
 use foxhold::core::{Clock, Message};
-use foxhold::daemon::config::Config;
+use foxhold::director::Config;
 use foxhold::fronts::ops::{self, Door, Reloads};
 use foxhold::fronts::platform::Platform;
 use foxhold::fronts::serve::Closing;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! Random cuts of valid messages and random garbage against the parsers, from fixed seeds.
 
 use bytes::BytesMut;
-use foxhold::daemon::config::Config;
+use foxhold::director::Config;
 use foxhold::fronts::http;
 use foxhold::signed;
 use foxhold::sources::{board, xds};
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -55,6 +55,7 @@
             match self.news.recv().await {
                 Some(Message::Ended(ticket, end)) => return (ticket.attempt, end),
                 Some(Message::Written) => self.written += 1,
+                Some(Message::Forgotten(..)) => {}
                 other => panic!("{other:?}"),
             }
         }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,5 +1,5 @@
-//! Forty-five minutes of a director's life in a few seconds of paused time: new ids, clients that leave, servers
-//! that are replaced, answers that never come. Nothing that it holds may grow with time.
+//! Forty-five minutes of a director's life in a few seconds of paused time: new ids, clients that leave,
+//! servers that are replaced, answers that never come. Nothing that it holds may grow with time.
 
 mod standin;
 
@@ -14,8 +14,16 @@
 const MINUTES: u64 = 45;
 const REQUESTS_A_SECOND: u64 = 12;
 /// What a director may hold at a time, far under what 45 minutes bring: 32,400 requests, 180 servers.
-const MOST: Tables =
-    Tables { live: 120, attempts: 160, alarms: 1_000, probes: 16, servers: 24, mailbox: 64, classes: 2 };
+const MOST: Tables = Tables {
+    live: 120,
+    attempts: 160,
+    alarms: 1_000,
+    probes: 16,
+    let_go: 40,
+    servers: 24,
+    mailbox: 64,
+    classes: 2,
+};
 
 /// Servers that answer after a while, with a miss now and then, break off, or say nothing.
 struct Moody;
--- a/tests/xds.rs
+++ b/tests/xds.rs
@@ -5,7 +5,7 @@
 use foxhold::api::MemberState;
 use foxhold::core::{Listing, Message, Reports};
 use foxhold::sources::xds;
-use foxhold::{daemon::follow_members, sources::watched::Watched};
+use foxhold::sources::{follow_file, watched::Watched};
 use standin::{listing, paused};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -105,7 +105,7 @@
         let (mailbox, mut inbox) = mpsc::channel(8);
         let (file, first) = Watched::open(path.clone(), xds::parse).expect("a good file");
         assert_eq!(first.members.len(), 2);
-        tokio::task::spawn_local(follow_members(file, Reports::new(mailbox)));
+        tokio::task::spawn_local(follow_file(file, Reports::new(mailbox)));
         std::fs::write(&path, SNAKE.replace("9090", "0")).expect("a file");
         assert!(
             timeout(Duration::from_secs(5), inbox.recv()).await.is_err(),
