Read the operator's own file as YAML; a command line and structured logs

Need: one configuration for daemon and library, faults named before a start, and a log from which the cause of one request's end can be read.

Change: `operator::Operator` by serde and serde-saphyr, unknown keys refused with line and column, the flat JSON of earlier versions still read; `foxhold serve|check|--help|--version` by clap, behind the feature `cli`; tracing with a span a request and an event an attempt (server, source, rank, outcome, note, time) at `debug`. The log's writer asks poll() whether standard error has room for a line and else drops and counts it, for the program has one thread: with 1,000 requests at `debug` into a pipe that nobody reads each is answered within 2 s (tests/process.rs).

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -43,6 +43,8 @@
     may_have_run: u32,
     /// An attempt failed for another reason than want of room.
     failed: bool,
+    /// What its attempts are logged under, where the level is on.
+    span: tracing::Span,
 }
 
 /// An attempt that is out.
@@ -51,6 +53,9 @@
     sent: Micros,
     /// Its peer has it.
     handed_over: bool,
+    /// The source of its fill, for the log.
+    source: Option<ServerId>,
+    keep: u8,
 }
 
 /// A listed server.
@@ -308,7 +313,7 @@
             }
             Action::Wake { at, token } => self.alarm(at, Alarm::Router(token)),
             Action::Probe(server) => self.probe(server),
-            Action::Log(line) => log!("module: {line}"),
+            Action::Log(line) => tracing::info!("module: {line}"),
             // The list comes by itself, and there is no wire between routers.
             Action::Subscribe | Action::FetchList | Action::Tell { .. } => {}
         }
@@ -344,8 +349,9 @@
         if !self.ids.insert(ask.id.clone()) {
             return self.reply(ask.class, reply, Answer::Failed(Cause::Duplicate));
         }
-        let live =
-            Live { ask, reply: Some(reply), deadline, attempts: 0, out: 0, may_have_run: 0, failed: false };
+        let span = tracing::debug_span!("request", id = &*ask.id, class = &*self.classes[ask.class]);
+        let (reply, failed) = (Some(reply), false);
+        let live = Live { ask, reply, deadline, attempts: 0, out: 0, may_have_run: 0, failed, span };
         self.live.insert(number, live);
         if self.expired(number) {
             self.expire(number);
@@ -454,12 +460,13 @@
         let ticket = Ticket { request: number, attempt: live.attempts };
         live.attempts += 1;
         live.out += 1;
-        self.attempts.insert(ticket, Out { server, sent: now, handed_over: false });
+        let source = fill.map(|f| f.source).filter(|s| *s != server);
+        let keep = fill.map_or(0, |f| f.keep);
+        self.attempts.insert(ticket, Out { server, sent: now, handed_over: false, source, keep });
         if live.reply.is_none() {
             return self.finish(ticket, Outcome::NotSent, None);
         }
         let until = if timeout > 0 { now + timeout } else { live.deadline + AFTER_DEADLINE };
-        let source = fill.map(|f| f.source).filter(|s| *s != server);
         let want = Want {
             ticket,
             id: live.ask.id.clone(),
@@ -469,7 +476,7 @@
             until: self.clock.instant(until),
             send_by: self.clock.instant(until).min(Instant::now() + SEND_WITHIN),
             via: source.and_then(|s| self.servers.get(&s)).map(|s| s.listing.name.clone()),
-            keep: fill.map_or(0, |f| f.keep),
+            keep,
             // 0 has a meaning of its own, and rounding up would let an older copy pass.
             max_age_ms: fill.map_or(0, |f| if f.max_age > 0 { (f.max_age / 1000).max(1) } else { 0 }),
             join: fill.is_some_and(|f| f.join),
@@ -495,7 +502,7 @@
     /// Opens a peer's actor anew if it has ended, which only a panic does while the server is listed.
     fn revive(&mut self, server: ServerId) {
         if let Some(known) = self.servers.get_mut(&server).filter(|s| s.mailbox.is_closed() && !s.gone()) {
-            log!("server {}: its actor had ended", known.listing.name);
+            tracing::warn!("server {}: its actor had ended", known.listing.name);
             known.mailbox = open(&mut self.peers, server, &known.listing, &self.reports);
         }
     }
@@ -560,6 +567,18 @@
             Some(Verdict::Unchanged(tag)) => Some(Answer::Unchanged(tag)),
             _ => None,
         };
+        let name = |id: ServerId| self.servers.get(&id).map_or("?", |s| &*s.listing.name);
+        tracing::debug!(
+            parent: &live.span,
+            attempt = ticket.attempt,
+            server = name(out.server),
+            source = out.source.map_or("-", name),
+            rank = out.keep,
+            outcome = ?outcome,
+            note = ?note,
+            took_ms = self.clock.now().saturating_sub(out.sent) / 1000,
+            "attempt"
+        );
         let class = live.ask.class;
         let given = answer.zip(live.reply.take_if(|_| outcome == Outcome::Ok));
         let over = live.reply.is_none();
@@ -636,7 +655,7 @@
             let (zone, kind) =
                 (place(&self.settings.zones, &listing.zone), place(&self.settings.kinds, &listing.kind));
             let (Some(zone), Some(kind)) = (zone, kind) else {
-                log!(
+                tracing::info!(
                     "list: {} is of zone {} and kind {}, not both known",
                     listing.name,
                     listing.zone,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,7 +6,8 @@
 use crate::fronts::ops::{self, Door, Reloads};
 use crate::fronts::platform::Platform;
 use crate::fronts::serve::{self, Closing, Places, Shared};
-use crate::fronts::signed::{self, parse_keys, FrontFile, Metrics, Signed};
+use crate::fronts::signed::{self, parse_keys, Metrics, Signed};
+use crate::operator::{Operator, SignedSection};
 use crate::signed::Counts;
 use crate::sources::watched::Watched;
 use crate::sources::{Board, Membership, XdsFile};
@@ -26,12 +27,12 @@
 const LEAST_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Runs a director until `terminated` is done and what it had taken by then is answered. The second front
-/// runs beside the platform's where its file says so. Of a configuration that comes later the board's address
-/// and the settings are taken over; whatever is under way is left alone. Clients come to the inherited
-/// socket, where there is one: another process serves it too, or will.
+/// runs beside the platform's where the operator's file says so. Of a configuration that comes later the
+/// board's address and the settings are taken over; whatever is under way is left alone. Clients come to the
+/// inherited socket, where there is one: another process serves it too, or will.
 pub async fn run(
     config: Config,
-    second: Option<FrontFile>,
+    operator: Operator,
     inherited: Option<std::net::TcpListener>,
     configs: mpsc::Receiver<Result<Config, String>>,
     terminated: impl Future<Output = ()>,
@@ -40,8 +41,8 @@
     let first = config.clone();
     let Config { listen, ops, seed, sockets, settings, transport, rev, known, .. } = config;
     let clock = Clock::system();
-    let xds = second.as_ref().and_then(|file| file.xds.clone());
-    let keyed = second.map(|file| Ok::<_, String>((Watched::open(file.keys.clone(), parse_keys)?, file)));
+    let Operator { signed, xds, .. } = operator;
+    let keyed = signed.map(|file| Ok::<_, String>((Watched::open(file.keys.clone(), parse_keys)?, file)));
     let keyed = keyed.transpose()?;
     // Where the list comes from a file, the board tells of purges only.
     let purges_only = xds.is_some();
@@ -72,11 +73,11 @@
         // Open until the program ends, for the figures of what is still under way.
         ops::listen(&ops, door).await?;
     }
-    if let Some(((keys_file, keys), FrontFile { listen, metrics, .. })) = keyed {
+    if let Some(((keys_file, keys), SignedSection { listen, metrics, .. })) = keyed {
         let (sender, keys) = watch::channel(Arc::new(keys));
         tokio::task::spawn_local(signed::follow_keys(keys_file, sender));
         let counts = Arc::new(Counts::default());
-        if let Some(metrics) = metrics.filter(|m| !m.is_empty()) {
+        if let Some(metrics) = metrics {
             accepting.push(serve::listen(&metrics, share(), Metrics(counts.clone())).await?);
         }
         let front = Signed { core: core.clone(), keys, clock, counts };
@@ -120,19 +121,21 @@
         let new = match new.and_then(|new| new.may_follow(&config).map(|()| new)) {
             Ok(new) => new,
             Err(error) => {
-                log!("foxhold: {error}; the configuration before stays");
+                tracing::warn!("{error}; the configuration before stays");
                 reloads.failed.set(reloads.failed.get() + 1);
                 continue;
             }
         };
-        log!("foxhold: configuration read anew");
+        tracing::info!("configuration read anew");
         reloads.taken.set(reloads.taken.get() + 1);
         let placed = |s: &Settings| (s.zones.clone(), s.zone, s.kinds.clone(), s.parent_kind, s.origin_kind);
         let fixed = |c: &Config| {
             (c.listen.clone(), c.ops.clone(), c.sockets, c.transport.clone(), placed(&c.settings))
         };
         if fixed(&new) != fixed(&config) {
-            log!("configuration: addresses, limits, connections, zones and kinds wait for a restart");
+            tracing::info!(
+                "configuration: addresses, limits, connections, zones and kinds wait for a restart"
+            );
         }
         if new.settings != config.settings {
             core.send(Message::Settings(Box::new(new.settings.clone()))).await;
--- a/src/fronts/ops.rs
+++ b/src/fronts/ops.rs
@@ -86,7 +86,7 @@
                 callers.push_back(task.abort_handle());
             }
             Err(error) => {
-                log!("operators: accept: {error}");
+                tracing::warn!("operators: accept: {error}");
                 sleep(Duration::from_millis(20)).await;
             }
         }
--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -68,7 +68,7 @@
 pub async fn listen<F: Front>(address: &str, shared: Shared, front: F) -> Result<JoinHandle<()>, String> {
     let listener = TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen on {address}: {e}"))?;
-    log!("foxhold: {} on {address}", F::NAME);
+    tracing::info!("{} on {address}", F::NAME);
     Ok(tokio::task::spawn_local(accept(listener, shared, front)))
 }
 
@@ -82,7 +82,7 @@
     listener.set_nonblocking(true).map_err(error)?;
     let address = listener.local_addr().map_err(error)?;
     let listener = TcpListener::from_std(listener).map_err(error)?;
-    log!("foxhold: {} on {address}, inherited", F::NAME);
+    tracing::info!("{} on {address}, inherited", F::NAME);
     Ok(tokio::task::spawn_local(accept(listener, shared, front)))
 }
 
@@ -105,7 +105,7 @@
             }
             Err(error) => {
                 // Out of descriptors, most likely: others have to end first.
-                log!("clients: accept: {error}");
+                tracing::warn!("clients: accept: {error}");
                 sleep(Duration::from_millis(20)).await;
             }
         }
--- a/src/fronts/signed.rs
+++ b/src/fronts/signed.rs
@@ -7,45 +7,10 @@
 use crate::signed::{self, Counts, Denied, KeyFile, Keys, Worded};
 use crate::sources::watched::Watched;
 use bytes::Bytes;
-use miniserde::{json, Deserialize};
-use std::path::{Path, PathBuf};
+use miniserde::json;
 use std::sync::Arc;
 use tokio::sync::watch;
 
-/// What the front's file says.
-#[derive(Debug)]
-pub struct FrontFile {
-    /// Where clients connect.
-    pub listen: String,
-    /// Where the counts can be read; none: nowhere.
-    pub metrics: Option<String>,
-    /// The file that says how credentials are checked.
-    pub keys: PathBuf,
-    /// An xDS file to take the members from, instead of the board.
-    pub xds: Option<PathBuf>,
-}
-
-#[derive(Deserialize)]
-struct Raw {
-    listen: Option<String>,
-    metrics: Option<String>,
-    keys: Option<String>,
-    xds: Option<String>,
-}
-
-impl FrontFile {
-    /// Reads the file; none where it says nowhere to listen. Paths in it are taken from its own folder.
-    pub fn read(path: &Path) -> Result<Option<FrontFile>, String> {
-        let name = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-        let raw: Raw = json::from_str(&text).map_err(|_| format!("{name}: not a front's file in JSON"))?;
-        let Some(listen) = raw.listen.filter(|l| !l.is_empty()) else { return Ok(None) };
-        let beside = |file: String| path.parent().unwrap_or(Path::new("")).join(file);
-        let keys = beside(raw.keys.ok_or_else(|| format!("{name}: 'keys' names no file"))?);
-        Ok(Some(FrontFile { listen, metrics: raw.metrics, keys, xds: raw.xds.map(beside) }))
-    }
-}
-
 /// Reads the keys' file.
 pub fn parse_keys(text: &str) -> Result<Keys, String> {
     Keys::new(json::from_str::<KeyFile>(text).map_err(|_| "not keys in JSON")?)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,26 +50,18 @@
 #[cfg(doctest)]
 struct Readme;
 
-/// Writes a line to the log, which is standard error. Guards against a log that nobody reads any more:
-/// `eprintln!` panics then, and would take the task that only wanted to say something with it.
-#[doc(hidden)]
-#[macro_export]
-macro_rules! log {
-    ($($line:tt)*) => {{
-        use ::std::io::Write as _;
-        let _ = ::std::io::stderr().write_all(format!("{}\n", format_args!($($line)*)).as_bytes());
-    }};
-}
-
 pub mod api;
 pub mod core;
 pub mod daemon;
 mod decide;
 pub mod director;
 pub mod fronts;
+#[cfg(feature = "cli")]
+pub mod log;
 pub mod membership;
 #[cfg(feature = "middleware")]
 pub mod middleware;
+pub mod operator;
 pub mod settings;
 pub mod signed;
 pub mod sources;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,39 +1,113 @@
 //! The director: reads its configuration, serves until SIGTERM, and then ends what it has taken. On SIGHUP it
 //! reads the configuration anew.
 
-use foxhold::daemon;
+use clap::{Parser, Subcommand};
 use foxhold::director::Config;
-use foxhold::fronts::signed::FrontFile;
+use foxhold::fronts::signed::parse_keys;
+use foxhold::operator::Operator;
+use foxhold::sources::xds;
+use foxhold::{daemon, log};
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 
-/// Where the second front's file is, unless `FOXHOLD_FRONT` names another.
-const FRONT_FILE: &str = "deploy/front.json";
+/// Where the operator's own file is, unless `FOXHOLD_FRONT` names another: the first of these that is there.
+const OPERATOR_FILES: [&str; 2] = ["deploy/foxhold.yaml", "deploy/front.json"];
+/// How a program ends whose files can't be used.
+const FAULTS: u8 = 2;
+
+/// A director for cache networks.
+#[derive(Parser)]
+#[command(
+    version,
+    about,
+    after_help = "ROUTER_CONFIG names the platform's configuration, FOXHOLD_FRONT the \
+    operator's own file (else deploy/foxhold.yaml), FOXHOLD_LOG the level of the log. See README.md."
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM; the default
+    Serve,
+    /// Say of each file whether it can be used, and what is wrong with it; exit 2 where one can't
+    Check {
+        /// Platform configurations in JSON, and operators' files in YAML
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+}
 
 fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("foxhold: {error}");
-            ExitCode::FAILURE
+    match Arguments::parse().command {
+        None | Some(Command::Serve) => match serve() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("foxhold: {error}");
+                ExitCode::FAILURE
+            }
+        },
+        Some(Command::Check { files }) => {
+            let mut good = true;
+            for file in &files {
+                match check(file) {
+                    Ok(what) => println!("{}: {what}", file.display()),
+                    Err(fault) => {
+                        good = false;
+                        eprintln!("{fault}");
+                    }
+                }
+            }
+            if good {
+                ExitCode::SUCCESS
+            } else {
+                FAULTS.into()
+            }
         }
     }
 }
 
-fn start() -> Result<(), String> {
+/// What a file is, where it and the files that it names can be used.
+fn check(file: &Path) -> Result<String, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let platform = text.trim_start().starts_with('{') && text.contains("\"settings\"");
+    if platform {
+        let config = Config::parse(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+        let (classes, events) = (config.settings.classes.len(), config.known.len());
+        return Ok(format!("a platform configuration, {classes} classes, {events} events known"));
+    }
+    let operator = Operator::read(file).map_err(|e| e.to_string())?;
+    let named = |path: &Path, parse: &dyn Fn(&str) -> Result<(), String>| {
+        let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+        text.and_then(|t| parse(&t)).map_err(|e| format!("{}: {}: {e}", file.display(), path.display()))
+    };
+    if let Some(signed) = &operator.signed {
+        named(&signed.keys, &|t| parse_keys(t).map(drop))?;
+    }
+    if let Some(path) = &operator.xds {
+        named(path, &|t| xds::parse(t).map(drop))?;
+    }
+    let front = operator.signed.map_or("off".into(), |s| s.listen);
+    let members = operator.xds.map_or("the notice board".into(), |p| p.display().to_string());
+    Ok(format!("an operator's file, signed front {front}, members from {members}"))
+}
+
+fn serve() -> Result<(), String> {
     let inherited = inherited()?;
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG does not name a configuration")?;
     let path = PathBuf::from(path);
     let config = Config::read(&path)?;
-    // Off on the platform, where no file says otherwise.
-    let second = match std::env::var_os("FOXHOLD_FRONT") {
-        Some(path) => FrontFile::read(path.as_ref())?,
-        None if Path::new(FRONT_FILE).exists() => FrontFile::read(FRONT_FILE.as_ref())?,
-        None => None,
-    };
+    // All off on the platform, where no file says otherwise.
+    let file = std::env::var_os("FOXHOLD_FRONT").map(PathBuf::from);
+    let file = file.or_else(|| OPERATOR_FILES.iter().map(PathBuf::from).find(|f| f.exists()));
+    let operator =
+        file.map(|f| Operator::read(&f)).transpose().map_err(|e| e.to_string())?.unwrap_or_default();
+    log::begin(&operator.log)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -42,7 +116,7 @@
         let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let (to_director, configs) = mpsc::channel(1);
         tokio::task::spawn_local(reload(path, hangup, to_director));
-        daemon::run(config, second, inherited, configs, async move {
+        daemon::run(config, operator, inherited, configs, async move {
             term.recv().await;
         })
         .await
--- a/src/sources/board.rs
+++ b/src/sources/board.rs
@@ -195,11 +195,11 @@
             error = connection(&at, &mut last, purges_only, &reports) => error,
             Ok(()) = address.changed() => {
                 wait = FIRST_WAIT;
-                log!("board: told of another address; asking there after event {last}");
+                tracing::info!("board: told of another address; asking there after event {last}");
                 continue;
             }
         };
-        log!("board: {error}; connecting anew after event {last}");
+        tracing::info!("board: {error}; connecting anew after event {last}");
         wait = if last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
         tokio::select! {
             () = sleep(wait) => {}
--- a/src/sources/watched.rs
+++ b/src/sources/watched.rs
@@ -36,7 +36,7 @@
                 }
                 Err(error) if error == self.complaint => {}
                 Err(error) => {
-                    log!("{error}; the last good one stays");
+                    tracing::warn!("{error}; the last good one stays");
                     self.complaint = error;
                 }
             }
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -412,7 +412,7 @@
                             Ok(Some(message)) => self.answer(message).await,
                             Ok(None) => break,
                             Err(error) => {
-                                log!("server {:?}: {error}", read.peer_addr());
+                                tracing::warn!("server {:?}: {error}", read.peer_addr());
                                 return reader.answering().map(Into::into);
                             }
                         }
@@ -420,7 +420,7 @@
                 }
                 () = sleep_until(doubt.unwrap_or(used)), if doubt.is_some() => match asked {
                     _ if begun => {
-                        log!("server {:?}: an answer was cut short", read.peer_addr());
+                        tracing::warn!("server {:?}: an answer was cut short", read.peer_addr());
                         return reader.answering().map(Into::into);
                     }
                     0 => {
@@ -435,7 +435,7 @@
                         asked = 2;
                     }
                     _ => {
-                        log!("server {:?}: silent", read.peer_addr());
+                        tracing::warn!("server {:?}: silent", read.peer_addr());
                         return None;
                     }
                 },
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,108 @@
+//! The operator's own file, and what the program says of files before it serves.
+
+use foxhold::operator::{LibrarySection, LogForm, Operator};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+fn parse(text: &str) -> Result<Operator, String> {
+    Operator::parse(text, Path::new("/etc/foxhold"))
+}
+
+#[test]
+fn the_file_under_deploy_leaves_all_off() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/foxhold.yaml");
+    let operator = Operator::read(&path).expect("a good file");
+    assert_eq!((operator.signed, operator.xds), (None, None));
+}
+
+#[test]
+fn sections_are_read_with_paths_beside_the_file_and_nothing_expanded() {
+    let operator = parse(
+        "signed: {listen: '127.0.0.1:1', keys: 'keys-${HOME}.json'}\nmembers:\n  xds: /var/members.json\n\
+         library: {open: 9}\nlog: {level: 'info,foxhold::core=debug', form: json}\n",
+    )
+    .expect("a good file");
+    let signed = operator.signed.expect("a front");
+    assert_eq!(signed.keys, PathBuf::from("/etc/foxhold/keys-${HOME}.json"));
+    assert_eq!(operator.xds, Some("/var/members.json".into()));
+    assert_eq!(operator.library, LibrarySection { open: 9, ..LibrarySection::default() });
+    assert_eq!(operator.log.form, LogForm::Json);
+    assert_eq!(parse("").expect("an empty file"), Operator::default());
+}
+
+#[test]
+fn the_flat_form_of_earlier_versions_is_read_as_it_was() {
+    let flat = r#"{"listen": "127.0.0.1:1", "metrics": "127.0.0.1:2", "keys": "k.json", "xds": "m.json"}"#;
+    let operator = parse(flat).expect("a good file");
+    assert_eq!(operator.signed.expect("a front").metrics.as_deref(), Some("127.0.0.1:2"));
+    assert_eq!(operator.xds, Some("/etc/foxhold/m.json".into()));
+    assert_eq!(parse(r#"{"listen": "", "xds": "m.json"}"#).expect("off").xds, None);
+}
+
+#[test]
+fn bad_files_are_turned_down_with_their_place() {
+    for (text, says) in [
+        ("log:\n  level: info\n  colour: red\n", "colour"),
+        ("log:\n  level: info\n  colour: red\n", "line 3"),
+        ("signd: {}\n", "signd"),
+        ("signed:\n  listen: '127.0.0.1:1'\n", "signed.keys"),
+        ("library: {open: 0}\n", "library.open"),
+        ("library: {open: many}\n", "line 1"),
+        ("log: [", "line"),
+        ("listen: ''\nlog: {level: info}\n", "flat form"),
+    ] {
+        let error = parse(text).expect_err(text);
+        assert!(error.contains(says) && error.lines().count() == 1, "{text:?}: {error}");
+    }
+}
+
+#[cfg(feature = "cli")]
+mod program {
+    use super::*;
+
+    fn foxhold(arguments: &[&str]) -> (Option<i32>, String, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_foxhold"))
+            .args(arguments)
+            .env_remove("ROUTER_CONFIG")
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .output()
+            .expect("the program");
+        let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+        (output.status.code(), text(output.stdout), text(output.stderr))
+    }
+
+    #[test]
+    fn check_names_each_fault_and_ends_with_2() {
+        let good =
+            foxhold(&["check", "examples/config.json", "examples/foxhold.yaml", "deploy/foxhold.yaml"]);
+        assert_eq!((good.0, good.1.lines().count(), good.2.as_str()), (Some(0), 3, ""), "{good:?}");
+        let folder = std::env::temp_dir().join(format!("foxhold-check-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let file = |name: &str, text: &str| {
+            std::fs::write(folder.join(name), text).expect("a file");
+            folder.join(name).display().to_string()
+        };
+        let config = include_str!("../examples/config.json").replace("\"idempotent\"", "\"sometimes\"");
+        let files = [
+            file("config.json", &config),
+            file("a.yaml", "log: {form: red}\n"),
+            file("b.yaml", "signed: {listen: '127.0.0.1:1', keys: keys.json}\n"),
+            file("keys.json", "{"),
+        ];
+        let bad = foxhold(&["check", &files[0], &files[1], &files[2], "/nowhere.yaml"]);
+        std::fs::remove_dir_all(&folder).expect("the folder");
+        assert_eq!((bad.0, bad.1.as_str()), (Some(2), ""), "{bad:?}");
+        let faults: Vec<&str> = bad.2.lines().collect();
+        assert_eq!(faults.len(), 4, "{faults:?}");
+        let says = ["sometimes", "line 1", "keys.json", "/nowhere.yaml"];
+        assert!(faults.iter().zip(says).all(|(fault, says)| fault.contains(says)), "{faults:?}");
+    }
+
+    #[test]
+    fn help_and_version_need_no_configuration() {
+        assert!(foxhold(&["--help"]).1.contains("ROUTER_CONFIG"));
+        assert_eq!(foxhold(&["--version"]).1.trim(), concat!("foxhold ", env!("CARGO_PKG_VERSION")));
+        let (code, _, error) = foxhold(&["serve"]);
+        assert_eq!((code, error.lines().count()), (Some(1), 1), "{error}");
+    }
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -227,3 +227,41 @@
         std::fs::remove_file(&path).expect("the file");
     });
 }
+
+/// Guards against a log that fills its pipe and stops the program's one thread, or one whose reader has gone.
+#[test]
+fn a_log_that_nobody_reads_holds_up_nothing() {
+    local(async {
+        let origin = Server::start(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
+        let path = file("log", &config(&origin.address));
+        let mut child = Running(Some(
+            Command::new(env!("CARGO_BIN_EXE_foxhold"))
+                .env("ROUTER_CONFIG", &path)
+                .env("FOXHOLD_LOG", "debug")
+                .env_remove("FOXHOLD_FRONT")
+                .current_dir(std::env::temp_dir())
+                .stderr(Stdio::piped())
+                .spawn()
+                .expect("the program"),
+        ));
+        let mut log = BufReader::with_capacity(64, child.child().stderr.take().expect("a pipe"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let address = line.trim_end().rsplit(' ').next().expect("an address").to_owned();
+        // Some 200 bytes each, where a pipe holds 64 KB.
+        for n in 0..1_000 {
+            let request = format!(
+                "PUT /ops/filing-submit/00000000000000aa HTTP/1.1\r\nX-Job-Id: {n:016x}\r\nX-Allow-Ms: 1500\r\n\
+                 Content-Length: 0\r\nConnection: close\r\n\r\n"
+            );
+            let answer = tokio::time::timeout(Duration::from_secs(2), send(&address, &request)).await;
+            assert_eq!(answer.expect("an answer in time").status, 200);
+        }
+        let mut text = String::new();
+        signal(&mut child, "TERM");
+        std::io::Read::read_to_string(&mut log, &mut text).expect("text");
+        assert!(text.contains("attempt") && text.contains("server=\"toy-origin\""), "{}", &text[..400]);
+        assert!(text.len() < 80_000, "{} bytes", text.len());
+        std::fs::remove_file(&path).expect("the file");
+    });
+}
