Take routes to the director in tower, with back-pressure and one budget for bodies

Need: the middleware served either everything or nothing, bounded bodies by count only, and imported a LocalSet's core. Change: `DirectorLayer` by `Routes` (longest prefix at a slash), `DirectorService` whose readiness is a place that its call takes, `Budget` in bytes without clock or I/O, `Grant` as an axum extractor, a handle that keeps an embedded director alive. Without room the answer is a 503 with Retry-After at once. Shown by tests/middleware.rs: a host's own routes go on beside it, two places and 60 KB hold, and what the host lets go gives both back.

--- /dev/null
+++ b/src/middleware/signed.rs
@@ -0,0 +1,85 @@
+//! The check of signed URLs and tokens before a service.
+
+use super::{only, say, Boxed};
+use crate::core::Clock;
+use crate::signed::{self, Counts, Denied, Keys};
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, Response, Uri};
+use std::future::ready;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tower::{Layer, Service};
+
+/// Checks the credential of each request before the service that it is put round.
+#[derive(Clone, Debug)]
+pub struct SignedLayer {
+    keys: Arc<Keys>,
+    clock: Clock,
+    counts: Arc<Counts>,
+}
+
+impl SignedLayer {
+    /// Checks with these keys by this clock, and counts what is turned down.
+    pub fn new(keys: Arc<Keys>, clock: Clock, counts: Arc<Counts>) -> Self {
+        SignedLayer { keys, clock, counts }
+    }
+}
+
+impl<S> Layer<S> for SignedLayer {
+    type Service = SignedService<S>;
+
+    fn layer(&self, inner: S) -> SignedService<S> {
+        SignedService { layer: self.clone(), inner }
+    }
+}
+
+/// A service behind a [`SignedLayer`].
+#[derive(Clone, Debug)]
+pub struct SignedService<S> {
+    layer: SignedLayer,
+    inner: S,
+}
+
+impl<S, B, R> Service<Request<B>> for SignedService<S>
+where
+    S: Service<Request<B>, Response = Response<R>>,
+    S::Future: Send + 'static,
+    S::Error: Send + 'static,
+    R: From<Bytes> + Send + 'static,
+{
+    type Response = Response<R>;
+    type Error = S::Error;
+    type Future = Boxed<Result<Response<R>, S::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, mut request: Request<B>) -> Self::Future {
+        let grant = authority(&request).and_then(|authority| {
+            let target = request.uri().path_and_query().map_or("/", |p| p.as_str());
+            signed::check(&self.layer.keys, authority, target, self.layer.clock.unix())
+        });
+        let stripped = grant.and_then(|grant| {
+            let uri = grant.target.parse::<Uri>().map_err(|_| Denied::Malformed)?;
+            Ok((uri, grant))
+        });
+        match stripped {
+            Ok((uri, grant)) => {
+                *request.uri_mut() = uri;
+                request.extensions_mut().insert(grant);
+                Box::pin(self.inner.call(request))
+            }
+            Err(denied) => Box::pin(ready(Ok(say(&self.layer.counts, signed::word(Err(denied)))))),
+        }
+    }
+}
+
+/// The host that the request was sent to: HTTP/2 has it in the URI, HTTP/1 in one `Host`.
+fn authority<B>(request: &Request<B>) -> Result<&str, Denied> {
+    if let Some(authority) = request.uri().authority() {
+        return Ok(authority.as_str());
+    }
+    only(request.headers(), &HOST).ok_or(Denied::Malformed)
+}
--- a/tests/middleware.rs
+++ b/tests/middleware.rs
@@ -1,16 +1,19 @@
 //! The middleware in axum, with a core whose servers are stand-ins on loopback.
-#![cfg(feature = "middleware")]
+#![cfg(feature = "axum")]
 
 mod standin;
 
 use axum::body::Body;
 use axum::http::{Request, Response};
 use axum::routing::get;
-use axum::{Extension, Router};
+use axum::Router;
 use base64::{engine::general_purpose::URL_SAFE, Engine};
 use foxhold::core::Clock;
-use foxhold::middleware::{Director, SignedLayer};
+use foxhold::director::Director;
+use foxhold::middleware::{DirectorLayer, DirectorService, Route, Routes, SignedLayer};
+use foxhold::operator::LibrarySection;
 use foxhold::signed::{Counts, Grant, Keys};
+use foxhold::sources::Told;
 use hmac::{Hmac, KeyInit, Mac};
 use http_body_util::BodyExt;
 use standin::{local, settings, start, Manner, Server};
@@ -45,7 +48,7 @@
 fn the_layer_lets_good_links_through_stripped_and_no_others() {
     local(async {
         let (clock, counts) = (Clock::starting_at(NOW * 1_000_000), Arc::new(Counts::default()));
-        let show = |Extension(grant): Extension<Grant>, uri: axum::http::Uri| async move {
+        let show = |grant: Grant, uri: axum::http::Uri| async move {
             format!("{uri} {}", grant.valid_until.expect("an end"))
         };
         let app = Router::new().route("/{*path}", get(show)).layer(layer(clock, &counts));
@@ -66,7 +69,7 @@
         let cache = Server::start(Manner::Says("ID ACK tag=aa,res=cached 5\r\nbytes\r\n")).await;
         let (clock, counts) = (Clock::starting_at(NOW * 1_000_000), Arc::new(Counts::default()));
         let core = start(settings(), clock, vec![cache.listing("s-cache", "edge", "cache")]);
-        let director = Director::new(core, counts.clone());
+        let director = DirectorService::new(core, counts.clone());
         let app = Router::new().fallback_service(director).layer(layer(clock, &counts));
         let response = app.clone().oneshot(request("/videos/a.mp4", NOW + 60)).await.expect("an answer");
         assert_eq!(response.status(), 200);
@@ -82,3 +85,78 @@
         assert_eq!(counted, [1, 1, 1]);
     });
 }
+
+fn routes() -> Routes {
+    let route = |prefix: &str, class: &str| Route { prefix: prefix.into(), class: class.into() };
+    Routes::new(vec![route("/media", "videos"), route("/desk/filings", "filing")]).expect("good routes")
+}
+
+#[test]
+fn the_layer_takes_what_its_routes_match_and_leaves_the_rest_to_the_host() {
+    local(async {
+        let cache = Server::start(Manner::Says("ID ACK tag=aa,res=cached 5\r\nbytes\r\n")).await;
+        let members =
+            vec![cache.listing("s-cache", "edge", "cache"), cache.listing("s-origin", "hub", "origin")];
+        let director = Director::builder(settings()).membership(Told(members)).start().expect("a director");
+        let counts = Arc::new(Counts::default());
+        let layer = DirectorLayer::new(director, counts.clone(), routes(), &LibrarySection::default());
+        let app = Router::new().route("/hello", get(|| async { "of the host" })).layer(layer);
+        let ask = |method: &str, path: &str, body: &'static str| {
+            let request = Request::builder().method(method).uri(path).body(Body::from(body));
+            app.clone().oneshot(request.expect("a request"))
+        };
+        assert_eq!(body(ask("GET", "/hello", "").await.expect("an answer")).await, "of the host");
+        assert_eq!(body(ask("GET", "/media/a/b.mp4?block=2", "").await.expect("an answer")).await, "bytes");
+        assert_eq!(ask("PUT", "/desk/filings/7", "a filing").await.expect("an answer").status(), 200);
+        assert_eq!(ask("GET", "/desk/filings/7", "").await.expect("an answer").status(), 405);
+        assert_eq!(ask("GET", "/mediax/a", "").await.expect("an answer").status(), 404, "the host's own");
+        let wants = cache.wants();
+        assert!(wants[0].contains("obj=a/b.mp4") && wants[0].contains("seg=2"), "{wants:?}");
+        assert!(wants[1].contains("kind=filing"), "{wants:?}");
+        assert_eq!([counts.get("served"), counts.get("bad_request")], [2, 1]);
+    });
+}
+
+#[test]
+fn readiness_is_a_place_that_holds_and_bodies_share_one_budget() {
+    local(async {
+        let origin = Server::start(Manner::Silent).await;
+        let members = vec![origin.listing("s-origin", "hub", "origin")];
+        let director = Director::builder(settings()).membership(Told(members)).start().expect("a director");
+        let limits = LibrarySection { open: 2, body_budget_kb: 60, ..LibrarySection::default() };
+        let counts = Arc::new(Counts::default());
+        let mut service = DirectorService::with(director, counts.clone(), Some(routes()), &limits);
+        let put = |bytes: usize| {
+            Request::put("/desk/filings/1").body(Body::from(vec![b'x'; bytes])).expect("a request")
+        };
+        let ready = tower::ServiceExt::<Request<Body>>::ready;
+        let call =
+            |service: &mut DirectorService, request| tokio::spawn(tower::Service::call(service, request));
+        let first = call(ready(&mut service).await.expect("a place"), put(40_000));
+        while origin.wants().is_empty() {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        // No room for these bytes beside the first's: refused at once, with a time to come back.
+        let second = call(ready(&mut service).await.expect("a place"), put(40_000)).await.expect("a task");
+        let second = second.expect("an answer");
+        assert_eq!(
+            (second.status().as_u16(), &second.headers()["retry-after"]),
+            (503, &"1".parse().expect("one"))
+        );
+        let third = call(ready(&mut service).await.expect("a place"), put(100));
+        let full = tokio::time::timeout(std::time::Duration::from_millis(50), ready(&mut service)).await;
+        assert!(full.is_err(), "two are open");
+        // The host lets go of one: its place and its bytes come back.
+        first.abort();
+        let _ = tokio::time::timeout(std::time::Duration::from_secs(1), ready(&mut service))
+            .await
+            .expect("a place");
+        let fourth = call(&mut service, put(40_000));
+        while origin.wants().len() < 3 {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        third.abort();
+        fourth.abort();
+        assert_eq!(counts.get("refused"), 1);
+    });
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -251,8 +251,8 @@
         // Some 200 bytes each, where a pipe holds 64 KB.
         for n in 0..1_000 {
             let request = format!(
-                "PUT /ops/filing-submit/00000000000000aa HTTP/1.1\r\nX-Job-Id: {n:016x}\r\nX-Allow-Ms: 1500\r\n\
-                 Content-Length: 0\r\nConnection: close\r\n\r\n"
+                "PUT /ops/filing-submit/00000000000000aa HTTP/1.1\r\nX-Job-Id: {n:016x}\r\n\
+                 X-Allow-Ms: 1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
             );
             let answer = tokio::time::timeout(Duration::from_secs(2), send(&address, &request)).await;
             assert_eq!(answer.expect("an answer in time").status, 200);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -113,7 +113,7 @@
                 let pick = quickcheck_pick(&mut gen);
                 let ask = Ask {
                     id: core.fresh_id(),
-                    class: usize::from(pick % 20 == 0),
+                    class: usize::from(pick.is_multiple_of(20)),
                     object: format!("{:016x}", pick % 50_000).into(),
                     group: Some((pick % 32) as u32),
                     size_kb: 20.0 + (pick % 300) as f64,
