--- a/src/middleware/mod.rs
+++ b/src/middleware/mod.rs
@@ -2,15 +2,15 @@
 //!
 //! | type | does |
 //! | --- | --- |
-//! | [`SignedLayer`] | answers 403 where a credential is not good, else hands the request on with it stripped |
-//! | [`DirectorLayer`] | takes what matches its [`Routes`] to the director, and all else to the inner service |
+//! | [`SignedLayer`] | answers 403 where a credential is not good, else strips it and hands on |
+//! | [`DirectorLayer`] | takes what matches its [`Routes`] to the director, all else to the inner service |
 //! | [`DirectorService`] | takes everything to the director |
 //!
-//! What passes the first has a [`Grant`](crate::signed::Grant) among its extensions, with the feature `axum` an
-//! extractor. All keep the rules of the daemon's fronts.
+//! What passes the first has a [`Grant`](crate::signed::Grant) among its extensions, with the feature `axum`
+//! an extractor. All keep the rules of the daemon's fronts.
 //!
-//! A body is taken whole before it is passed on, up to [`LARGEST_WRITE`](crate::core::LARGEST_WRITE), within a
-//! [`Budget`] in bytes for all requests together. What finds no room is a 503 with `Retry-After`, at once.
+//! A body is taken whole before it is passed on, up to [`LARGEST_WRITE`](crate::core::LARGEST_WRITE), within
+//! a [`Budget`] in bytes for all requests together. What finds no room is a 503 with `Retry-After`, at once.
 
 mod budget;
 mod director;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -278,7 +278,8 @@
 #[test]
 fn a_list_of_several_thousand_servers_is_no_trouble() {
     let mut g = Gateway::new(settings());
-    let entry = |n: u32| Member { server: ServerId(1000 + n), ..member(if n % 5 == 0 { 11 } else { 1 }) };
+    let entry =
+        |n: u32| Member { server: ServerId(1000 + n), ..member(if n.is_multiple_of(5) { 11 } else { 1 }) };
     let mut members: Vec<Member> = (0..5000).map(entry).collect();
     members.push(member(20));
     g.list(ListKind::Full, members);
