Play one trace through daemon and library and compare every choice and answer

Need: that an embedded director decides like the daemon was said, not shown. Change: a workspace with crates/foxhold-lab (not published): stand-in caches, parents, origin and board with troubles, traces as text, and `foxhold-lab trace`, which plays one through the daemon's process and through an axum host that embeds the library. Timing is fixed as the module's page says: requests one after the other at times of the trace, troubles apart, the same seed.

--- /dev/null
+++ b/crates/foxhold-lab/src/fleet.rs
@@ -0,0 +1,357 @@
+//! Stand-in servers on loopback: they hold what they were told to keep, fill from each other, and fail when told.
+//!
+//! They speak the line protocol as its page has it. Nothing is evicted and no time is modelled but a stated delay, so
+//! that what a director sees depends on what it asks and on nothing else.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+/// The toy deployment's zones: servers stand in the first, caches and clients in the second.
+const ZONES: [&str; 2] = ["hub", "branch"];
+
+/// What a server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Keeps what it fills, asks a source for what it lacks.
+    Cache,
+    /// Keeps everything that it fetched from the origin.
+    Parent,
+    /// Has everything.
+    Origin,
+}
+
+impl Role {
+    /// The kind's name in the list.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Role::Cache => "cache",
+            Role::Parent => "parent",
+            Role::Origin => "origin",
+        }
+    }
+}
+
+/// A request as a server saw it. Times and ages are left out: they differ from play to play.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The request's id.
+    pub id: String,
+    /// Who was asked.
+    pub server: String,
+    /// From where a miss was to be filled.
+    pub via: Option<String>,
+    /// The rank at which a copy was to be kept.
+    pub tier: u8,
+    /// The words of `opts`.
+    pub opts: String,
+    /// Whether only a copy younger than some age would do.
+    pub aged: bool,
+}
+
+struct Server {
+    role: Role,
+    address: SocketAddr,
+    held: HashSet<(String, String)>,
+    /// Refuses connections, and ended those that it had.
+    down: watch::Sender<bool>,
+    delay: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    servers: BTreeMap<String, Server>,
+    seen: Vec<Seen>,
+    events: Vec<String>,
+}
+
+/// A fleet that runs on the present runtime for as long as this lives.
+pub struct Fleet {
+    state: Arc<Mutex<State>>,
+    board: SocketAddr,
+    news: watch::Sender<usize>,
+    _tasks: JoinSet<()>,
+}
+
+fn lock(state: &Arc<Mutex<State>>) -> MutexGuard<'_, State> {
+    // A stand-in that panicked is a failed test already.
+    state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+}
+
+impl Fleet {
+    /// So many caches and parents and one origin, on ports of their own.
+    pub async fn start(caches: usize, parents: usize) -> std::io::Result<Fleet> {
+        let (state, mut tasks): (Arc<Mutex<State>>, _) = (Arc::default(), JoinSet::new());
+        let roles = [(Role::Cache, caches), (Role::Parent, parents), (Role::Origin, 1)];
+        for (role, count) in roles {
+            for n in 1..=count {
+                let name = format!("{}-{n}", role.kind());
+                let listener = TcpListener::bind("127.0.0.1:0").await?;
+                let (down, told) = watch::channel(false);
+                let address = listener.local_addr()?;
+                let server = Server { role, address, held: HashSet::new(), down, delay: Duration::ZERO };
+                lock(&state).servers.insert(name.clone(), server);
+                tasks.spawn(listen(listener, name, state.clone(), told));
+            }
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let board = listener.local_addr()?;
+        let (news, told) = watch::channel(0);
+        tasks.spawn(tell(listener, state.clone(), told));
+        let fleet = Fleet { state, board, news, _tasks: tasks };
+        let names: Vec<String> = lock(&fleet.state).servers.keys().cloned().collect();
+        fleet.notice(|rev, state| {
+            let members: Vec<String> =
+                names.iter().map(|n| member(n, &state.servers[n], "in_service")).collect();
+            let list = members.join(",");
+            format!(r#"{{"rev":{rev},"pool":{{"revision":{rev},"complete":true,"members":[{list}]}}}}"#)
+        });
+        Ok(fleet)
+    }
+
+    fn notice(&self, event: impl FnOnce(usize, &State) -> String) {
+        let mut state = lock(&self.state);
+        let rev = state.events.len() + 1;
+        let line = event(rev, &state);
+        state.events.push(line);
+        drop(state);
+        self.news.send_replace(rev);
+    }
+
+    /// The platform's configuration for a director before this fleet.
+    pub fn config(&self, listen: &str, seed: u64) -> String {
+        let state = lock(&self.state);
+        let (board, rev, notices) = (self.board, state.events.len(), state.events.join(","));
+        let [hub, branch] = ZONES;
+        format!(
+            r#"{{"name":"lab","listen":"{listen}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},
+"board":"{board}","known":{{"rev":{rev},"notices":[{notices}]}},
+"settings":{{"balancers":1,"zone":"{branch}","zones":["{hub}","{branch}"],"kinds":["cache","parent","origin"],
+"weights":"nominal","services":[
+{{"name":"guide-videos","aimMs":400,"aimStretch":1.6,"deadlineMs":5000,"effect":"idempotent","worth":2}},
+{{"name":"page-bits","aimMs":250,"aimStretch":2.0,"deadlineMs":3000,"effect":"idempotent","worth":1}},
+{{"name":"filing-submit","aimMs":700,"deadlineMs":3000,"effect":"at_most_once","worth":3}}],
+"familyInfo":{{"midKind":1,"storeKind":2,"flowKbPerS":9500,"noteLevel":"all","passThroughOk":true,
+"passOn":[false,false,true],"instancesByZone":[0,1],"purgeGraceMs":1000,"purgeDoneMs":6000}},
+"bounds":{{"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":1000,"maxAttempts":6,
+"probes":true,"connectTimeoutMs":400,"connIdleMs":30000,"streamsPerConn":100}},
+"rules":{{"stopSendingWithinMs":1000,"coldFrom":0.17,"warmWithinMs":16000,"fallMultiple":2.5,"overloadForMs":3000}}}}}}"#
+        )
+    }
+
+    /// Tells of a drain by the board.
+    pub fn drain(&self, name: &str) {
+        self.notice(|rev, state| change(rev, &member(name, &state.servers[name], "terminating")));
+    }
+
+    /// A process dies: its connections are reset and new ones refused. Nobody is told.
+    pub fn crash(&self, name: &str) {
+        let mut state = lock(&self.state);
+        let Some(server) = state.servers.get_mut(name) else { return };
+        server.held.clear();
+        server.down.send_replace(true);
+    }
+
+    /// It comes back, empty.
+    pub fn back(&self, name: &str) {
+        if let Some(server) = lock(&self.state).servers.get(name) {
+            server.down.send_replace(false);
+        }
+    }
+
+    /// Everything that this server does takes so much longer.
+    pub fn slow(&self, name: &str, delay: Duration) {
+        if let Some(server) = lock(&self.state).servers.get_mut(name) {
+            server.delay = delay;
+        }
+    }
+
+    /// Purges an object everywhere, and tells of it by the board.
+    pub fn purge(&self, object: &str) {
+        lock(&self.state).servers.values_mut().for_each(|s| s.held.retain(|(o, _)| o != object));
+        let ms = unix_ms();
+        self.notice(|rev, _| format!(r#"{{"rev":{rev},"flush":{{"asset":"{object}","ms":{ms}}}}}"#));
+    }
+
+    /// Everything that servers were asked, in its order.
+    pub fn seen(&self) -> Vec<Seen> {
+        lock(&self.state).seen.clone()
+    }
+}
+
+fn member(name: &str, server: &Server, phase: &str) -> String {
+    let (kind, address) = (server.role.kind(), server.address);
+    let (zone, size) = if server.role == Role::Cache { (ZONES[1], 40) } else { (ZONES[0], 80) };
+    format!(
+        r#"{{"id":"{name}","host_port":"{address}","locality":"{zone}","flavor":"{kind}","phase":"{phase}","size":{size}}}"#
+    )
+}
+
+fn change(rev: usize, member: &str) -> String {
+    format!(r#"{{"rev":{rev},"pool":{{"revision":{rev},"complete":false,"members":[{member}]}}}}"#)
+}
+
+/// The board: events after the one asked for, and each second the last number.
+async fn tell(listener: TcpListener, state: Arc<Mutex<State>>, news: watch::Receiver<usize>) {
+    let mut followers = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let (state, mut news) = (state.clone(), news.clone());
+        followers.spawn(async move {
+            let (read, mut write) = stream.into_split();
+            let mut line = String::new();
+            if BufReader::new(read).read_line(&mut line).await.is_err() {
+                return;
+            }
+            let mut last: usize = line.trim().rsplit(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+            loop {
+                let lines: Vec<String> = lock(&state).events.iter().skip(last).cloned().collect();
+                last += lines.len();
+                let text = if lines.is_empty() { format!("{last}\n") } else { lines.join("\n") + "\n" };
+                if write.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+                let _ = tokio::time::timeout(Duration::from_secs(1), news.changed()).await;
+            }
+        });
+    }
+}
+
+async fn listen(
+    listener: TcpListener,
+    name: String,
+    state: Arc<Mutex<State>>,
+    mut down: watch::Receiver<bool>,
+) {
+    let (address, mut listener) = (listener.local_addr(), Some(listener));
+    let mut connections = JoinSet::new();
+    loop {
+        if *down.borrow_and_update() {
+            // Out of scope: the port refuses, and what was open is reset.
+            listener = None;
+            connections.shutdown().await;
+            if down.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        if listener.is_none() {
+            let Ok(address) = address else { return };
+            listener = TcpListener::bind(address).await.ok();
+        }
+        let Some(open) = &listener else { return };
+        tokio::select! {
+            Ok((stream, _)) = open.accept() => {
+                connections.spawn(serve(stream, name.clone(), state.clone()));
+            }
+            changed = down.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, name: String, state: Arc<Mutex<State>>) {
+    let _ = stream.set_nodelay(true);
+    let (read, mut write) = stream.into_split();
+    let (answers, mut outbox) = mpsc::channel::<Vec<u8>>(256);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        while let Some(bytes) = outbox.recv().await {
+            if write.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut read = BufReader::new(read);
+    loop {
+        let mut line = String::new();
+        if !matches!(read.read_line(&mut line).await, Ok(n) if n > 0) {
+            return;
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let (answer, delay) = match words[..] {
+            ["want", id, fields, length] => {
+                let mut body = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
+                if read.read_exact(&mut body).await.is_err() {
+                    return;
+                }
+                lock(&state).answer(&name, id, fields)
+            }
+            ["busy" | "there", tag] => (format!("{tag} READY - 0\r\n\r\n").into(), Duration::ZERO),
+            _ => continue,
+        };
+        let answers = answers.clone();
+        tasks.spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = answers.send(answer).await;
+        });
+    }
+}
+
+impl State {
+    fn answer(&mut self, name: &str, id: &str, fields: &str) -> (Vec<u8>, Duration) {
+        let fields: BTreeMap<&str, &str> = fields.split(',').filter_map(|f| f.split_once('=')).collect();
+        let field = |name: &str| fields.get(name).copied();
+        let via = field("via");
+        self.seen.push(Seen {
+            id: id.into(),
+            server: name.into(),
+            via: via.map(Into::into),
+            tier: field("tier").and_then(|t| t.parse().ok()).unwrap_or(0),
+            opts: field("opts").unwrap_or("").into(),
+            aged: field("fresh").is_some_and(|f| f != "0"),
+        });
+        let object = field("obj").unwrap_or("").to_owned();
+        let key = (object.clone(), field("seg").unwrap_or("").to_owned());
+        let kept = field("tier").is_some_and(|t| t != "0");
+        let (role, held, mut delay) = {
+            let own = &self.servers[name];
+            (own.role, own.held.contains(&key), own.delay)
+        };
+        let note = match role {
+            Role::Origin => "cached",
+            _ if held => "cached",
+            Role::Parent => {
+                self.hold(name, &key);
+                "fetched_root"
+            }
+            Role::Cache => {
+                let Some(source) = via.and_then(|v| self.servers.get(v).map(|s| (v, s))) else {
+                    return (format!("{id} NOENT - 0\r\n\r\n").into(), delay);
+                };
+                let (source, down, far) = (source.0, *source.1.down.borrow(), source.1.delay);
+                delay += far;
+                if down {
+                    return (format!("{id} EIO res=up_lost 0\r\n\r\n").into(), delay);
+                }
+                let there = self.servers[source].held.contains(&key);
+                let note = if there { "fetched" } else { "fetched_root" };
+                if self.servers[source].role == Role::Parent {
+                    self.hold(source, &key);
+                }
+                if kept {
+                    self.hold(name, &key);
+                }
+                note
+            }
+        };
+        let body = format!("{object}/{}", key.1);
+        let minted = unix_ms();
+        let lag = delay.as_millis();
+        let head = format!("{id} ACK tag={object},minted={minted},res={note},lag={lag} {}\r\n", body.len());
+        ((head + &body + "\r\n").into_bytes(), delay)
+    }
+
+    fn hold(&mut self, name: &str, key: &(String, String)) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.held.insert(key.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxhold-lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! foxhold's laboratory: what only tests, measurements and experiments need.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`fleet`] | stand-in caches, parents, origin and notice board on loopback |
+//! | [`trace`] | traces of requests and troubles: the file, and how one is drawn |
+//! | [`replay`] | a trace through the daemon's process or the library in an axum host, and the comparison |
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod fleet;
+pub mod replay;
+pub mod trace;
--- /dev/null
+++ b/crates/foxhold-lab/src/main.rs
@@ -0,0 +1,96 @@
+//! The laboratory's command line.
+
+use clap::{Parser, Subcommand};
+use foxhold_lab::replay::{compare, play, Failure, Played, Through};
+use foxhold_lab::trace;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// foxhold's laboratory.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Draw a trace with a drain, a crash, a slow parent and a purge, and print it
+    Draw {
+        /// Requests
+        #[arg(long, default_value_t = 5_000)]
+        requests: usize,
+        /// What it is drawn from
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+    },
+    /// Play one trace through the daemon and through the library, and compare every choice and answer; exit 1 where
+    /// any differs
+    Trace {
+        /// The trace; without one it is drawn as by `draw`
+        file: Option<PathBuf>,
+        /// The daemon's program
+        #[arg(long, default_value = "target/release/foxhold")]
+        daemon: PathBuf,
+        /// Seed of a trace that is drawn
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// Requests of a trace that is drawn
+        #[arg(long, default_value_t = 5_000)]
+        requests: usize,
+        /// Change the decision on this fill in the library, which must show
+        #[arg(long)]
+        alter: Option<usize>,
+    },
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(good) => ExitCode::from(u8::from(!good)),
+        Err(error) => {
+            eprintln!("foxhold-lab: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(command: Command) -> Result<bool, Failure> {
+    match command {
+        Command::Draw { requests, seed } => {
+            trace::draw(requests, seed).iter().for_each(|line| println!("{line}"));
+            Ok(true)
+        }
+        Command::Trace { file, daemon, seed, requests, alter } => {
+            let lines = match file {
+                Some(file) => trace::parse(&std::fs::read_to_string(file)?)?,
+                None => trace::draw(requests, seed),
+            };
+            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+            let daemon = runtime.block_on(play(&lines, &Through::Daemon(daemon)))?;
+            tell("daemon", &daemon);
+            let library = runtime.block_on(play(&lines, &Through::Library { altered: alter }))?;
+            tell("library", &library);
+            let differences = compare(&daemon, &library);
+            for difference in differences.iter().take(5) {
+                println!("request {}:", difference.id);
+                println!("  daemon  {:?}", difference.one);
+                println!("  library {:?}", difference.other);
+            }
+            println!("{} differences", differences.len());
+            Ok(differences.is_empty())
+        }
+    }
+}
+
+fn tell(name: &str, played: &Played) {
+    let attempts: usize = played.requests.values().map(|(seen, _)| seen.len()).sum();
+    let mut statuses = std::collections::BTreeMap::new();
+    played.requests.values().for_each(|(_, answer)| *statuses.entry(answer.status).or_insert(0) += 1);
+    println!(
+        "{name}: {} requests, {attempts} attempts, answers {statuses:?}, {} started late, {:?} at the most",
+        played.requests.len(),
+        played.late,
+        played.latest
+    );
+}
--- /dev/null
+++ b/crates/foxhold-lab/src/replay.rs
@@ -0,0 +1,336 @@
+//! One trace through the daemon's process or through the library in an axum host, and what differs.
+//!
+//! What timing alone could make differ is fixed: requests go one after the other on one connection, each at its own
+//! time of the trace ([`STEP_MS`](crate::trace::STEP_MS) says how these are chosen) and none before the one before is
+//! answered; troubles stand alone, with room round them; the seed of the decisions' random numbers is the same; and
+//! servers take no time that the trace does not tell. A request that had to start later than its time is counted, and
+//! a play with any that started over a millisecond late says so.
+
+use crate::fleet::{Fleet, Seen};
+use crate::trace::{Asked, Line, Step, Trouble};
+use axum::body::Bytes;
+use axum::extract::{Path as Target, RawQuery, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::any;
+use foxhold::core::{Answer, Cause, Listing, Order, Peers, Reports};
+use foxhold::director::{Config, Director, Question};
+use foxhold::transport::servers::Servers;
+use foxhold::ServerId;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+
+/// Seed of the decisions' random numbers in every play.
+const SEED: u64 = 0x8c1f_30d2_7a5b_e964;
+
+/// What a trace is played through.
+#[derive(Clone, Debug)]
+pub enum Through {
+    /// The daemon's process, from this program.
+    Daemon(PathBuf),
+    /// The library, in an axum application of this process.
+    Library {
+        /// The fill of this number is sent to another parent than was decided: shows that a difference is seen.
+        altered: Option<usize>,
+    },
+}
+
+/// The final answer as a client got it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answered {
+    /// The status.
+    pub status: u16,
+    /// The copy's tag.
+    pub tag: Option<String>,
+    /// Milliseconds to stay away.
+    pub wait_ms: Option<String>,
+    /// The bytes.
+    pub body: Vec<u8>,
+}
+
+/// What came of one play.
+#[derive(Clone, Debug, Default)]
+pub struct Played {
+    /// By the request's id: what servers were asked, in its order, and the final answer.
+    pub requests: BTreeMap<String, (Vec<Seen>, Answered)>,
+    /// How late the latest request started, and how many started over a millisecond late.
+    pub latest: Duration,
+    /// See `latest`.
+    pub late: usize,
+}
+
+/// A request that went otherwise.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Difference {
+    /// Its id, which is its number in the trace.
+    pub id: String,
+    /// As it went in the one play.
+    pub one: (Vec<Seen>, Answered),
+    /// And in the other.
+    pub other: (Vec<Seen>, Answered),
+}
+
+/// All that differs between two plays of one trace.
+pub fn compare(one: &Played, other: &Played) -> Vec<Difference> {
+    let ids: std::collections::BTreeSet<&String> = one.requests.keys().chain(other.requests.keys()).collect();
+    let of = |played: &Played, id: &String| played.requests.get(id).cloned().unwrap_or_default();
+    let both = ids.into_iter().map(|id| (id, of(one, id), of(other, id)));
+    both.filter(|(_, a, b)| a != b)
+        .map(|(id, one, other)| Difference { id: id.clone(), one, other })
+        .collect()
+}
+
+/// An error as one line.
+pub type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Plays a trace against a fleet of its own: 3 caches, 3 parents and an origin.
+pub async fn play(lines: &[Line], through: &Through) -> Result<Played, Failure> {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let fleet = Fleet::start(3, 3).await?;
+    let folder = std::env::temp_dir();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let file = folder.join(format!("foxhold-lab-{}-{number}.json", std::process::id()));
+    std::fs::write(&file, fleet.config("127.0.0.1:0", SEED))?;
+    let started = match through {
+        Through::Daemon(program) => daemon(program, &file),
+        Through::Library { altered } => library(&file, *altered).await,
+    };
+    std::fs::remove_file(&file)?;
+    let (address, running) = started?;
+    let (lines, handle) = (lines.to_vec(), tokio::runtime::Handle::current());
+    let (fleet, mut played) = tokio::task::spawn_blocking(move || {
+        let _inside = handle.enter();
+        let played = drive(&lines, &address, &fleet);
+        (fleet, played)
+    })
+    .await?;
+    if let Ok(played) = &mut played {
+        for seen in fleet.seen() {
+            let entry = played.requests.entry(seen.id.clone()).or_default();
+            entry.0.push(seen);
+        }
+    }
+    drop(running);
+    played
+}
+
+/// What ends with a play.
+enum Running {
+    Process(Child),
+    Host(tokio::task::JoinHandle<()>),
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        match self {
+            Running::Process(child) => {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            Running::Host(task) => task.abort(),
+        }
+    }
+}
+
+fn daemon(program: &Path, config: &Path) -> Result<(String, Running), Failure> {
+    let mut child = Command::new(program)
+        .env("ROUTER_CONFIG", config)
+        .env_remove("FOXHOLD_FRONT")
+        .env_remove("FOXHOLD_LOG")
+        .current_dir(std::env::temp_dir())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .map_err(|e| format!("{}: {e}", program.display()))?;
+    let log = child.stderr.take().ok_or("no log")?;
+    let running = Running::Process(child);
+    let (mut log, mut line) = (BufReader::new(log), String::new());
+    log.read_line(&mut line)?;
+    // Read on, so that nothing is lost of what it says on its end.
+    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    let address = line.trim_end().rsplit(' ').next().filter(|a| a.contains(':')).ok_or(line.clone())?;
+    Ok((address.to_owned(), running))
+}
+
+async fn library(config: &Path, altered: Option<usize>) -> Result<(String, Running), Failure> {
+    let mut builder = Director::from_file(config)?;
+    if let Some(nth) = altered {
+        let config = Config::read(config)?;
+        let servers = Servers::new(config.transport, config.sockets * 2 / 5);
+        builder = builder.transport(Altered { servers, left: Arc::new(AtomicUsize::new(nth)) });
+    }
+    let app = axum::Router::new()
+        .route("/alive", any(|| async {}))
+        .route("/ops/{class}/{object}", any(host))
+        .with_state(builder.start()?);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    let task = tokio::spawn(async move {
+        let _ = axum::serve(listener, app).await;
+    });
+    Ok((address, Running::Host(task)))
+}
+
+/// The host application: reads what the platform's clients send, asks the director by function call, and words its
+/// answers by the platform's page.
+async fn host(
+    State(director): State<Director>,
+    Target((class, object)): Target<(String, String)>,
+    RawQuery(query): RawQuery,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let header = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+    let number = |name: &str| header(name).and_then(|v| v.parse::<f64>().ok());
+    let mut question = Question::new(class, object).body(body);
+    if let Some(id) = header("x-job-id") {
+        question = question.id(id);
+    }
+    if let Some(part) = query.as_deref().and_then(|q| q.strip_prefix("block=")).and_then(|p| p.parse().ok()) {
+        question = question.part(part);
+    }
+    if let Some(group) = number("x-family") {
+        question = question.group(group as u32);
+    }
+    if let Some(size) = number("x-ram-kb") {
+        question = question.size_kb(size);
+    }
+    if let Some(allow) = number("x-allow-ms") {
+        question = question.allow(Duration::from_secs_f64(allow / 1e3));
+    }
+    let status = |code: u16| StatusCode::from_u16(code).unwrap_or_default();
+    let tagged = |tag: Option<Arc<str>>| tag.map(|t| [("etag", format!("\"{t}\""))]);
+    match director.ask(question).await {
+        Ok(Answer::Served(copy)) => match tagged(copy.tag) {
+            Some(tag) => (tag, copy.body).into_response(),
+            None => copy.body.into_response(),
+        },
+        Ok(Answer::Unchanged(_)) => status(304).into_response(),
+        Ok(Answer::Refused { wait: Some(wait), .. }) => {
+            (status(503), [("x-wait-ms", wait.as_millis().max(1).to_string())]).into_response()
+        }
+        Ok(Answer::Refused { .. }) => status(503).into_response(),
+        Ok(Answer::Failed(Cause::Deadline)) => status(504).into_response(),
+        Ok(Answer::Failed(Cause::Duplicate)) => status(409).into_response(),
+        Ok(Answer::Failed(_)) | Err(_) => status(502).into_response(),
+    }
+}
+
+/// The line protocol, with one decision changed on its way.
+struct Altered {
+    servers: Servers,
+    left: Arc<AtomicUsize>,
+}
+
+impl Peers for Altered {
+    fn open(&mut self, server: ServerId, listing: &Listing, reports: Reports) -> mpsc::Sender<Order> {
+        let inner = self.servers.open(server, listing, reports);
+        let (mailbox, mut orders) = mpsc::channel(512);
+        let left = self.left.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(mut order) = orders.recv().await {
+                if let Order::Want(want) = &mut order {
+                    let parent = want.via.as_ref().is_some_and(|v| v.starts_with("parent"));
+                    if parent && left.fetch_sub(1, Ordering::Relaxed) == 0 {
+                        let other =
+                            if want.via.as_deref() == Some("parent-1") { "parent-3" } else { "parent-1" };
+                        want.via = Some(other.into());
+                    }
+                }
+                if inner.send(order).await.is_err() {
+                    return;
+                }
+            }
+        });
+        mailbox
+    }
+}
+
+fn drive(lines: &[Line], address: &str, fleet: &Fleet) -> Result<Played, Failure> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+    let mut played = Played::default();
+    exchange(&mut stream, "GET /alive HTTP/1.1\r\nHost: lab\r\n\r\n")?;
+    // The board's follower and first probes have settled by then.
+    std::thread::sleep(Duration::from_millis(200));
+    let begun = Instant::now();
+    let mut number = 0;
+    for line in lines {
+        let due = begun + Duration::from_secs_f64(line.at_ms / 1e3);
+        match due.checked_duration_since(Instant::now()) {
+            Some(wait) => std::thread::sleep(wait),
+            None => {
+                let late = due.elapsed();
+                played.latest = played.latest.max(late);
+                played.late += usize::from(late > Duration::from_millis(1));
+            }
+        }
+        match &line.step {
+            Step::Trouble(trouble) => apply(fleet, trouble),
+            Step::Ask(asked) => {
+                number += 1;
+                let id = format!("{number:016x}");
+                let answer = exchange(&mut stream, &request(asked, &id))?;
+                played.requests.insert(id, (Vec::new(), answer));
+            }
+        }
+    }
+    Ok(played)
+}
+
+fn apply(fleet: &Fleet, trouble: &Trouble) {
+    match trouble {
+        Trouble::Drain(name) => fleet.drain(name),
+        Trouble::Crash(name) => fleet.crash(name),
+        Trouble::Back(name) => fleet.back(name),
+        Trouble::Slow(name, ms) => fleet.slow(name, Duration::from_millis(*ms)),
+        Trouble::Purge(object) => fleet.purge(object),
+    }
+}
+
+fn request(asked: &Asked, id: &str) -> String {
+    let Asked { class, object, part, group, size_kb, allow_ms } = asked;
+    let (method, body) = if class == "filing-submit" { ("PUT", "a filing") } else { ("GET", "") };
+    let length = body.len();
+    format!(
+        "{method} /ops/{class}/{object}?block={part} HTTP/1.1\r\nHost: lab\r\nX-Job-Id: {id}\r\n\
+         X-Allow-Ms: {allow_ms}\r\nX-Family: {group}\r\nX-Ram-Kb: {size_kb}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn exchange(stream: &mut TcpStream, request: &str) -> Result<Answered, Failure> {
+    stream.write_all(request.as_bytes())?;
+    let (mut bytes, mut scrap) = (Vec::new(), [0; 4096]);
+    let mut more = |bytes: &mut Vec<u8>| -> Result<(), Failure> {
+        match stream.read(&mut scrap)? {
+            0 => Err("the connection was closed under a request".into()),
+            n => Ok(bytes.extend_from_slice(&scrap[..n])),
+        }
+    };
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end;
+        }
+        more(&mut bytes)?;
+    };
+    let head = String::from_utf8(bytes[..end].to_vec())?;
+    let header = |name: &str| {
+        let mut pairs = head.lines().filter_map(|l| l.split_once(':'));
+        pairs.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+    };
+    let length: usize = header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+    while bytes.len() < end + 4 + length {
+        more(&mut bytes)?;
+    }
+    let status = head.get(9..12).and_then(|s| s.parse().ok()).ok_or("no status")?;
+    let body = bytes[end + 4..end + 4 + length].to_vec();
+    Ok(Answered { status, tag: header("etag"), wait_ms: header("x-wait-ms"), body })
+}
