--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 	cargo build --locked --release
 
 test:
-	cargo test --locked --all-features
+	cargo test --locked --workspace --all-features
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets --all-features -- -D warnings
-	RUSTDOCFLAGS="-D warnings" cargo doc --locked --all-features --no-deps --quiet
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets --all-features -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --all-features --no-deps --quiet
 
 # A director for the toy deployment, with both fronts.
 run: build
--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,125 @@
+//! What one decision costs: a request put to the module and its attempt ended, before fleets of three sizes.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use foxhold::api::*;
+use foxhold::Router;
+use std::hint::black_box;
+
+fn settings() -> Settings {
+    let class = |name: &str, aim, deadline| Class {
+        name: name.into(),
+        aim,
+        deadline,
+        worth: 1.0,
+        ..Class::default()
+    };
+    Settings {
+        classes: vec![class("videos", 400_000, 5_000_000), class("pages", 250_000, 3_000_000)],
+        kinds: vec!["cache".into(), "parent".into(), "origin".into()],
+        parent_kind: Some(1),
+        origin_kind: 2,
+        zones: vec!["hub".into(), "edge".into()],
+        zone: 1,
+        routers_by_zone: vec![0, 4],
+        routers: 4,
+        flow: 9_500.0,
+        sizes_told: true,
+        cancel: true,
+        second_copies: true,
+        retry_advice: true,
+        max_advice: 1_000_000,
+        max_attempts: 6,
+        probes: true,
+        direct: true,
+        notes: Notes::All,
+        purge_done: 6_000_000,
+        ..Settings::default()
+    }
+}
+
+/// Nine caches in ten, the rest parents, and the origin.
+fn members(servers: u32) -> Vec<Member> {
+    let member = |id: u32| {
+        let (zone, kind) = match id {
+            0 => (0, 2),
+            n if n.is_multiple_of(10) => (0, 1),
+            _ => (1, 0),
+        };
+        let state = MemberState::Running;
+        Member {
+            server: ServerId(id.wrapping_mul(0x9e37_79b9)),
+            zone,
+            kind,
+            cell: 0,
+            state,
+            size: 12.0,
+            since: 0,
+        }
+    };
+    (0..servers).map(member).collect()
+}
+
+fn request(n: u64, objects: u64, now: Micros) -> Request {
+    let mixed = n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16;
+    Request {
+        id: RequestId(n),
+        class: (mixed % 2) as usize,
+        object: ObjectId(mixed % objects),
+        part: (mixed % 3) as u32,
+        group: Some((mixed % 32) as u32),
+        deadline: now + 3_000_000,
+        size_kb: 200.0,
+        repeat: false,
+    }
+}
+
+fn one(router: &mut Router, n: u64, objects: u64, out: &mut Vec<Action>) {
+    let now = n * 500;
+    out.clear();
+    router.handle(now, Event::Request(request(n, objects, now)), out);
+    let server = out.iter().find_map(|a| match a {
+        Action::Attempt { server, .. } => Some(*server),
+        _ => None,
+    });
+    if let Some(server) = server {
+        let end = AttemptEnd {
+            request: RequestId(n),
+            attempt: 0,
+            server,
+            outcome: Outcome::Ok,
+            took: 20_000,
+            over: true,
+            note: if n.is_multiple_of(3) { Note::Filled } else { Note::Hit },
+            waited: 10_000,
+            report: Vec::new(),
+        };
+        router.handle(now + 400, Event::Ended(end), out);
+    }
+    black_box(&out);
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for servers in [20, 200, 2_000] {
+        for objects in [1_000, 100_000] {
+            let mut router = Router::new(settings(), 7).expect("good settings");
+            let mut out = Vec::new();
+            router.handle(0, Event::Members { kind: ListKind::Full, members: members(servers) }, &mut out);
+            let mut n = 0;
+            for _ in 0..30_000 {
+                n += 1;
+                one(&mut router, n, objects, &mut out);
+            }
+            group.bench_function(BenchmarkId::new(format!("{servers} servers"), objects), |b| {
+                b.iter(|| {
+                    n += 1;
+                    one(&mut router, n, objects, &mut out);
+                })
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -1,6 +1,8 @@
 //! The laboratory's command line.
 
 use clap::{Parser, Subcommand};
+use foxhold_lab::fleet::Fleet;
+use foxhold_lab::overhead::{through_daemon, through_library};
 use foxhold_lab::replay::{compare, play, Failure, Played, Through};
 use foxhold_lab::trace;
 use std::path::PathBuf;
@@ -43,6 +45,24 @@
         #[arg(long)]
         alter: Option<usize>,
     },
+    /// What the director costs a request, as daemon over loopback and as library, before the same stand-ins
+    Overhead {
+        /// The daemon's program
+        #[arg(long, default_value = "target/release/foxhold")]
+        daemon: PathBuf,
+        /// Requests of each
+        #[arg(long, default_value_t = 40_000)]
+        requests: usize,
+        /// Servers in all: nine caches in ten
+        #[arg(long, default_value_t = 200)]
+        servers: usize,
+        /// Objects asked for in turn
+        #[arg(long, default_value_t = 1_000)]
+        objects: usize,
+        /// Requests under way at a time
+        #[arg(long, default_value_t = 16)]
+        at_once: usize,
+    },
 }
 
 fn main() -> ExitCode {
@@ -61,6 +81,30 @@
             trace::draw(requests, seed).iter().for_each(|line| println!("{line}"));
             Ok(true)
         }
+        Command::Overhead { daemon, requests, servers, objects, at_once } => {
+            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+            let parents = (servers / 10).max(1);
+            let (daemon, library) = runtime.block_on(async {
+                let fleet = Fleet::start(servers.saturating_sub(parents + 1).max(1), parents).await?;
+                let daemon = through_daemon(&daemon, &fleet, requests, at_once, objects).await?;
+                let library = through_library(&fleet, requests, at_once, objects).await?;
+                Ok::<_, Failure>((daemon, library))
+            })?;
+            for (name, cost) in [("daemon", &daemon), ("library", &library)] {
+                println!(
+                    "{name}: {:.0} requests/s, p50 {} us, p99 {} us, {:.1} us of processor a request, {} not served",
+                    cost.rate, cost.p50, cost.p99, cost.cpu, cost.others
+                );
+            }
+            println!(
+                "library to daemon: rate {:.2}, p50 {:.2}, p99 {:.2}, processor {:.2}",
+                library.rate / daemon.rate,
+                library.p50 as f64 / daemon.p50 as f64,
+                library.p99 as f64 / daemon.p99 as f64,
+                library.cpu / daemon.cpu
+            );
+            Ok(true)
+        }
         Command::Trace { file, daemon, seed, requests, alter } => {
             let lines = match file {
                 Some(file) => trace::parse(&std::fs::read_to_string(file)?)?,
--- a/crates/foxhold-lab/src/replay.rs
+++ b/crates/foxhold-lab/src/replay.rs
@@ -122,11 +122,21 @@
 }
 
 /// What ends with a play.
-enum Running {
+pub(crate) enum Running {
     Process(Child),
     Host(tokio::task::JoinHandle<()>),
 }
 
+impl Running {
+    /// The daemon's process.
+    pub(crate) fn id(&self) -> Option<u32> {
+        match self {
+            Running::Process(child) => Some(child.id()),
+            Running::Host(_) => None,
+        }
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         match self {
@@ -139,7 +149,7 @@
     }
 }
 
-fn daemon(program: &Path, config: &Path) -> Result<(String, Running), Failure> {
+pub(crate) fn daemon(program: &Path, config: &Path) -> Result<(String, Running), Failure> {
     let mut child = Command::new(program)
         .env("ROUTER_CONFIG", config)
         .env_remove("FOXHOLD_FRONT")
@@ -306,14 +316,15 @@
     )
 }
 
-fn exchange(stream: &mut TcpStream, request: &str) -> Result<Answered, Failure> {
+pub(crate) fn exchange(stream: &mut TcpStream, request: &str) -> Result<Answered, Failure> {
     stream.write_all(request.as_bytes())?;
     let (mut bytes, mut scrap) = (Vec::new(), [0; 4096]);
     let mut more = |bytes: &mut Vec<u8>| -> Result<(), Failure> {
         match stream.read(&mut scrap)? {
-            0 => Err("the connection was closed under a request".into()),
-            n => Ok(bytes.extend_from_slice(&scrap[..n])),
+            0 => return Err("the connection was closed under a request".into()),
+            n => bytes.extend_from_slice(&scrap[..n]),
         }
+        Ok(())
     };
     let end = loop {
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
