--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run toys sign
+.PHONY: build test lint demo run toys sign bench
 
 build:
 	cargo build --locked --release
@@ -22,3 +22,12 @@
 # A signed link to try.
 sign:
 	@cargo run --locked --quiet --example sign -- /guide-videos/one.mp4
+
+# All of it at once: the toys, the director with both fronts, and some requests through each.
+demo: build
+	@cargo run --locked --quiet --example demo
+
+# What a decision costs, by criterion; and a request through daemon and library.
+bench:
+	cargo bench --locked --bench decide
+	cargo run --locked --release -p foxhold-lab -- overhead
--- a/crates/foxhold-lab/src/replay.rs
+++ b/crates/foxhold-lab/src/replay.rs
@@ -150,7 +150,8 @@
 }
 
 pub(crate) fn daemon(program: &Path, config: &Path) -> Result<(String, Running), Failure> {
-    let mut child = Command::new(program)
+    let program = program.canonicalize().map_err(|e| format!("{}: {e}", program.display()))?;
+    let mut child = Command::new(&program)
         .env("ROUTER_CONFIG", config)
         .env_remove("FOXHOLD_FRONT")
         .env_remove("FOXHOLD_LOG")
--- a/examples/sign.rs
+++ b/examples/sign.rs
@@ -10,12 +10,16 @@
 const SECRET: &[u8] = b"a toy, no secret";
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let path = std::env::args().nth(1).ok_or("usage: sign PATH")?;
+    println!("{}", link(&std::env::args().nth(1).ok_or("usage: sign PATH")?)?);
+    Ok(())
+}
+
+/// The path as a signed link.
+pub fn link(path: &str) -> Result<String, Box<dyn std::error::Error>> {
     let expires = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs() + 3600;
     let mark = if path.contains('?') { '&' } else { '?' };
     let url = format!("http://127.0.0.1:7101{path}{mark}Expires={expires}&KeyName=toy");
     let mut mac = Hmac::<sha1::Sha1>::new_from_slice(SECRET)?;
     mac.update(url.as_bytes());
-    println!("{url}&Signature={}", URL_SAFE.encode(mac.finalize().into_bytes()));
-    Ok(())
+    Ok(format!("{url}&Signature={}", URL_SAFE.encode(mac.finalize().into_bytes())))
 }
--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -6,7 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
-fn main() -> std::io::Result<()> {
+/// Serves until the program ends.
+pub fn main() -> std::io::Result<()> {
     let servers =
         [("toy-cache", "127.0.0.1:7201"), ("toy-parent", "127.0.0.1:7202"), ("toy-origin", "127.0.0.1:7203")];
     for (name, address) in servers {
