--- a/src/decide.rs
+++ b/src/decide.rs
@@ -79,6 +79,8 @@
 const SLOW_FILL: f64 = 0.8;
 /// A cache loaded under this much turns nothing away for itself: its source did.
 const ROOMY: f64 = 1.2;
+/// The zone's link is crowded where a fill's bytes take over this multiple of its sending time.
+const ADMIT_SLOW: f64 = 1.75;
 /// What a fill that the zone's link carried slowly, or in time, does to the share of fills admitted, and the
 /// least of that, for it is tried again. Both pull alike where a quarter of the fills are slow.
 const ADMIT_CUT: f64 = 0.7;
@@ -748,7 +750,7 @@
         let sending = end.took.saturating_sub(end.waited) as f64;
         let crowded = match (end.outcome, end.note) {
             _ if self.settings.classes[class].write => return,
-            (Outcome::Ok, Note::Filled | Note::FilledByOrigin) => sending > LIMPS * (work + HIT_EXTRA),
+            (Outcome::Ok, Note::Filled | Note::FilledByOrigin) => sending > ADMIT_SLOW * (work + HIT_EXTRA),
             (Outcome::Full, Note::NoPlace) => true,
             (Outcome::Canceled | Outcome::TimedOut, _) if slow => true,
             _ => return,
@@ -810,7 +812,6 @@
         })
     }
 
-    /// None where nothing can be sent.
     fn choose(&mut self, now: Micros, held: &Held) -> Option<Choice> {
         if self.settings.classes[held.request.class].write && self.settings.direct {
             let new =
@@ -937,8 +938,7 @@
                 let at_source = source.is_some() && !direct && (told || untold);
                 let whose = source.filter(|_| at_source).unwrap_or(server);
                 self.servers.entry(whose).and_modify(|s| s.busy_until = now + BUSY);
-                // Turning work away is a sign of life: were a parent suspected for it, others would have to
-                // fetch its objects anew.
+                // A sign of life: were a parent suspected for it, others would fetch its objects anew.
                 self.fill_ended(source.filter(|_| at_source), true, true);
             }
             Outcome::ConnectError | Outcome::Reset if alive || one_break => {}
