--- a/src/decide.rs
+++ b/src/decide.rs
@@ -162,10 +162,6 @@
     fn running(&self) -> bool {
         self.member.state == MemberState::Running
     }
-
-    fn tally(&self) -> f64 {
-        f64::from(self.fills + self.failed_fills)
-    }
 }
 
 /// A count of requests that fades.
@@ -265,7 +261,6 @@
     until: Micros,
 }
 
-/// An attempt of a request.
 #[derive(Default)]
 struct Attempt {
     server: ServerId,
@@ -303,7 +298,7 @@
 }
 
 /// The server to ask, and the source of a fill.
-type Choice = (ServerId, Option<ServerId>);
+type Choice = (ServerId, Option<ServerId>, bool);
 
 /// One gateway's decisions.
 #[derive(Default)]
@@ -351,10 +346,8 @@
             Event::Started { request, attempt } => self.started(request, attempt, out),
             Event::Ended(end) => self.ended(now, end, out),
             Event::Left(id) => {
-                if let Some(held) = self.held.get_mut(&id) {
-                    held.over = true;
-                    self.settle(id, None, out);
-                }
+                self.held.entry(id).and_modify(|held| held.over = true);
+                self.settle(id, None, out);
             }
             Event::Timer(token) => self.timer(now, token, out),
             Event::Purged { object, group, age } => {
@@ -701,17 +694,12 @@
         if self.settings.classes[held.request.class].write {
             return self.origin;
         }
-        // Guards the zone's link, which all fills share: beyond what it carries each takes longer, until all
-        // are late. The large ones are left out first, for they take most of it.
-        let heavy = (held.work / self.paces[held.request.class].work).min(HEAVIEST);
-        if unit(self.draw()) > self.admit.powf(heavy * heavy) {
-            return None;
-        }
         let mut order = self.hashed(object, &self.parents);
         if let [first, second, ..] = order[..] {
             let since = self.servers[&second].member.since;
             let open = held.hot >= HOT_SHARE || self.objects.believed(object, second, since, now);
-            if open && self.servers[&first].tally() > MARGIN * self.servers[&second].tally() {
+            let tally = |id: &ServerId| f64::from(self.servers[id].fills + self.servers[id].failed_fills);
+            if open && tally(&first) > MARGIN * tally(&second) {
                 order.swap(0, 1);
             }
         }
@@ -723,6 +711,15 @@
         order.into_iter().find(|id| self.room(*id, now))
     }
 
+    /// A parent without room may still be asked for what it holds: that asks nothing of the origin.
+    fn pick_held(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
+        let first = *self.hashed(held.request.object, &self.parents).first()?;
+        let class = &self.settings.classes[held.request.class];
+        let fits = !class.write && held.attempts.is_empty() && self.servers[&first].busy_until <= now;
+        let fits = fits && self.healthy(first, now) && self.cold_take(first, held.work, now, false);
+        fits.then_some(first)
+    }
+
     /// Whether a source has room for one more of our fills. The window's fraction is drawn for: among many
     /// gateways one fill each may be too much.
     fn room(&mut self, id: ServerId, now: Micros) -> bool {
@@ -763,7 +760,7 @@
     fn send(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(mut held) = self.held.remove(&id) else { return false };
         let choice = self.choose(now, &held);
-        if let Some(choice @ (server, source)) = choice {
+        if let Some(choice @ (server, source, _)) = choice {
             let fill = self.fill(now, &held, choice);
             let direct = source == Some(server);
             let mut booked = 0.0;
@@ -792,7 +789,7 @@
     }
 
     /// What the attempt says of a fill: its source, what is kept, and the oldest copy that will do.
-    fn fill(&self, now: Micros, held: &Held, (server, source): Choice) -> Option<Fill> {
+    fn fill(&self, now: Micros, held: &Held, (server, source, held_only): Choice) -> Option<Fill> {
         let class = &self.settings.classes[held.request.class];
         if class.write && source.is_none() {
             return None;
@@ -807,7 +804,7 @@
             keep: if passing { 0 } else { 1 + u8::from(held.asked > 1) },
             max_age: purged.map_or(limit, |age| if limit > 0 { age.min(limit) } else { age }),
             join: self.settings.joins && purged.is_none() && !passing,
-            held_only: false,
+            held_only: held_only && source.is_some(),
             renew: class.fresh > 0 && held.asked > 1 && !passing,
         })
     }
@@ -817,24 +814,29 @@
             let new =
                 |o: &ServerId| held.attempts.iter().all(|a| a.server != *o) && self.may_send(held, *o, now);
             if let Some(origin) = self.origin.filter(new) {
-                return Some((origin, None));
+                return Some((origin, None, false));
             }
         }
         if let Some(cache) = self.pick_cache(now, held) {
             if held.attempts.is_empty() && self.too_slow(now, held, cache) {
                 return None;
             }
-            let source = self.pick_source(now, held);
+            // Guards the zone's link, which all fills share: beyond what it carries all are late. The large
+            // ones are left out first, for they take most of it.
+            let heavy = (held.work / self.paces[held.request.class].work).min(HEAVIEST);
+            let admitted = unit(self.draw()) <= self.admit.powf(heavy * heavy);
+            let source = if admitted { self.pick_source(now, held) } else { None };
             // Without a source it would be looked for in vain once more.
-            let vain = source.is_none() && held.attempts.iter().any(|a| a.missed);
-            return (!vain).then_some((cache, source));
+            let (held_only, missed) = (source.is_none(), held.attempts.iter().any(|a| a.missed));
+            let parent = source.or_else(|| self.pick_held(now, held).filter(|_| admitted));
+            return (!(held_only && missed)).then_some((cache, parent, held_only));
         }
         // No cache of the zone can be used: go straight to the source.
         if !self.settings.direct {
             return None;
         }
         let source = self.pick_source(now, held).filter(|s| self.may_send(held, *s, now))?;
-        Some((source, Some(source)))
+        Some((source, Some(source), false))
     }
 
     /// Whether an answer from this cache would come too late to be of much worth, by what we have there.
@@ -863,10 +865,8 @@
     // ---- what comes of attempts ----
 
     fn started(&mut self, id: RequestId, attempt: u32, out: &mut Vec<Action>) {
-        if let Some(held) = self.held.get_mut(&id) {
-            held.started = true;
-            self.settle(id, Some(attempt), out);
-        }
+        self.held.entry(id).and_modify(|held| held.started = true);
+        self.settle(id, Some(attempt), out);
     }
 
     fn ended(&mut self, now: Micros, end: AttemptEnd, out: &mut Vec<Action>) {
