--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -393,7 +393,7 @@
     assert_eq!(g.send(900).server, ServerId(1));
 }
 
-/// The earlier day with bad clients, bad peers and an outage: without this 30% were refused, not 18%, while the
+/// Earlier day with bad clients, bad peers and an outage: without this 30% were refused, not 18%, while the
 /// origin was slow and the parents' windows were shut.
 #[test]
 fn a_parent_without_room_is_asked_for_what_it_holds_and_a_miss_ends_it() {
