Build tests' attempts, the bench's settings and the lab's measuring once each

Read again: two tests wrote the same `Want` field by field, the bench the stand-ins' settings, a process test the start of the program; the lab wrote a configuration file in three places, one of which left it behind on an error, and the same measuring round two ways of asking. Each has one place now. No assertion and no measured value changes.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -1,5 +1,8 @@
 //! What one decision costs: a request put to the module and its attempt ended, before fleets of three sizes.
 
+#[path = "../tests/standin/mod.rs"]
+mod standin;
+
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use foxhold::api::*;
 use foxhold::Router;
@@ -15,25 +18,11 @@
     };
     Settings {
         classes: vec![class("videos", 400_000, 5_000_000), class("pages", 250_000, 3_000_000)],
-        kinds: vec!["cache".into(), "parent".into(), "origin".into()],
-        parent_kind: Some(1),
-        origin_kind: 2,
-        zones: vec!["hub".into(), "edge".into()],
-        zone: 1,
         routers_by_zone: vec![0, 4],
         routers: 4,
         flow: 9_500.0,
-        sizes_told: true,
-        cancel: true,
-        second_copies: true,
-        retry_advice: true,
-        max_advice: 1_000_000,
-        max_attempts: 6,
         probes: true,
-        direct: true,
-        notes: Notes::All,
-        purge_done: 6_000_000,
-        ..Settings::default()
+        ..standin::settings()
     }
 }
 
--- a/crates/foxhold-lab/src/overhead.rs
+++ b/crates/foxhold-lab/src/overhead.rs
@@ -2,12 +2,14 @@
 //! stand-ins, closed loop.
 
 use crate::fleet::Fleet;
-use crate::replay::{daemon, exchange, Failure};
+use crate::replay::{daemon, exchange, ConfigFile, Failure};
+use crate::trace::object;
 use foxhold::director::{Director, Question};
 use hdrhistogram::Histogram;
 use std::net::TcpStream;
 use std::path::Path;
 use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
 
 /// What one way cost.
 #[derive(Clone, Debug)]
@@ -24,10 +26,6 @@
     pub others: usize,
 }
 
-fn object(n: usize, objects: usize) -> String {
-    format!("{:016x}", (n % objects + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
-}
-
 /// Ticks of processor time in a `stat` file, in microseconds; the kernel counts 100 a second.
 fn cpu(stat: &str) -> Result<f64, Failure> {
     let text = std::fs::read_to_string(stat)?;
@@ -36,16 +34,27 @@
     Ok((ticks(11) + ticks(12)) * 10_000.0)
 }
 
-fn summed(begun: Instant, parts: Vec<(Histogram<u64>, usize)>, cpu: f64) -> Result<Cost, Failure> {
-    let took = begun.elapsed().as_secs_f64();
+/// What one of those that ask has seen: how long its answers took, and how many did not serve.
+type Part = Result<(Histogram<u64>, usize), Failure>;
+
+/// Has so many ask side by side and reckons what that cost the process or thread of this `stat` file.
+async fn measured(
+    stat: &str,
+    at_once: usize,
+    ask: impl Fn(usize) -> JoinHandle<Part>,
+) -> Result<Cost, Failure> {
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (begun, before) = (Instant::now(), cpu(stat)?);
+    let tasks: Vec<_> = (0..at_once).map(ask).collect();
     let (mut all, mut others) = (Histogram::<u64>::new(3)?, 0);
-    for (part, failed) in parts {
+    for task in tasks {
+        let (part, failed) = task.await??;
         all.add(part)?;
         others += failed;
     }
-    let count = all.len() as f64;
+    let (count, took, used) = (all.len() as f64, begun.elapsed().as_secs_f64(), cpu(stat)? - before);
     let (p50, p99) = (all.value_at_quantile(0.5), all.value_at_quantile(0.99));
-    Ok(Cost { rate: count / took, p50, p99, cpu: cpu / count, others })
+    Ok(Cost { rate: count / took, p50, p99, cpu: used / count, others })
 }
 
 /// The daemon, asked on so many connections at once.
@@ -56,42 +65,30 @@
     at_once: usize,
     objects: usize,
 ) -> Result<Cost, Failure> {
-    let file = std::env::temp_dir().join(format!("foxhold-lab-{}-overhead.json", std::process::id()));
-    std::fs::write(&file, fleet.config("127.0.0.1:0", 7))?;
-    let (address, running) = daemon(program, &file)?;
+    let file = ConfigFile::write(fleet, 7)?;
+    let (address, running) = daemon(program, &file.0)?;
     let stat = format!("/proc/{}/stat", running.id().ok_or("no process")?);
-    tokio::time::sleep(Duration::from_millis(200)).await;
-    let (begun, before) = (Instant::now(), cpu(&stat)?);
-    let tasks: Vec<_> = (0..at_once)
-        .map(|k| {
-            let address = address.clone();
-            tokio::task::spawn_blocking(move || -> Result<_, Failure> {
-                let mut stream = TcpStream::connect(address)?;
-                stream.set_nodelay(true)?;
-                let (mut times, mut others) = (Histogram::<u64>::new(3)?, 0);
-                for n in (k..requests).step_by(at_once) {
-                    let request = format!(
-                        "GET /ops/guide-videos/{} HTTP/1.1\r\nHost: lab\r\nX-Job-Id: {n:016x}\r\n\
-                         X-Allow-Ms: 5000\r\nX-Ram-Kb: 5\r\n\r\n",
-                        object(n, objects)
-                    );
-                    let begun = Instant::now();
-                    let answer = exchange(&mut stream, &request)?;
-                    times.record(begun.elapsed().as_micros() as u64)?;
-                    others += usize::from(answer.status != 200);
-                }
-                Ok((times, others))
-            })
+    let ask = |k| {
+        let address = address.clone();
+        tokio::task::spawn_blocking(move || {
+            let mut stream = TcpStream::connect(address)?;
+            stream.set_nodelay(true)?;
+            let (mut times, mut others) = (Histogram::<u64>::new(3)?, 0);
+            for n in (k..requests).step_by(at_once) {
+                let request = format!(
+                    "GET /ops/guide-videos/{} HTTP/1.1\r\nHost: lab\r\nX-Job-Id: {n:016x}\r\n\
+                     X-Allow-Ms: 5000\r\nX-Ram-Kb: 5\r\n\r\n",
+                    object((n % objects + 1) as u64)
+                );
+                let begun = Instant::now();
+                let answer = exchange(&mut stream, &request)?;
+                times.record(begun.elapsed().as_micros() as u64)?;
+                others += usize::from(answer.status != 200);
+            }
+            Ok((times, others))
         })
-        .collect();
-    let mut parts = Vec::new();
-    for task in tasks {
-        parts.push(task.await??);
-    }
-    let used = cpu(&stat)? - before;
-    std::fs::remove_file(&file)?;
-    drop(running);
-    summed(begun, parts, used)
+    };
+    measured(&stat, at_once, ask).await
 }
 
 /// The library, asked by so many tasks at once.
@@ -101,35 +98,24 @@
     at_once: usize,
     objects: usize,
 ) -> Result<Cost, Failure> {
-    let file = std::env::temp_dir().join(format!("foxhold-lab-{}-overhead-library.json", std::process::id()));
-    std::fs::write(&file, fleet.config("127.0.0.1:0", 7))?;
-    let director = Director::from_file(&file)?.start()?;
-    std::fs::remove_file(&file)?;
-    let stat = thread_named("foxhold")?;
-    tokio::time::sleep(Duration::from_millis(200)).await;
-    let (begun, before) = (Instant::now(), cpu(&stat)?);
-    let tasks: Vec<_> = (0..at_once)
-        .map(|k| {
-            let director = director.clone();
-            tokio::spawn(async move {
-                let (mut times, mut others) = (Histogram::<u64>::new(3)?, 0);
-                for n in (k..requests).step_by(at_once) {
-                    let question = Question::new("guide-videos", object(n, objects)).size_kb(5.0);
-                    let begun = Instant::now();
-                    let answer = director.ask(question).await;
-                    times.record(begun.elapsed().as_micros() as u64)?;
-                    others += usize::from(!matches!(answer, Ok(foxhold::core::Answer::Served(_))));
-                }
-                Ok::<_, Failure>((times, others))
-            })
+    let file = ConfigFile::write(fleet, 7)?;
+    let director = Director::from_file(&file.0)?.start()?;
+    let ask = |k| {
+        let director = director.clone();
+        tokio::spawn(async move {
+            let (mut times, mut others) = (Histogram::<u64>::new(3)?, 0);
+            for n in (k..requests).step_by(at_once) {
+                let object = object((n % objects + 1) as u64);
+                let question = Question::new("guide-videos", object).size_kb(5.0);
+                let begun = Instant::now();
+                let answer = director.ask(question).await;
+                times.record(begun.elapsed().as_micros() as u64)?;
+                others += usize::from(!matches!(answer, Ok(foxhold::core::Answer::Served(_))));
+            }
+            Ok((times, others))
         })
-        .collect();
-    let mut parts = Vec::new();
-    for task in tasks {
-        parts.push(task.await??);
-    }
-    let used = cpu(&stat)? - before;
-    summed(begun, parts, used)
+    };
+    measured(&thread_named("foxhold")?, at_once, ask).await
 }
 
 /// The `stat` file of this process's thread of that name.
--- a/crates/foxhold-lab/src/replay.rs
+++ b/crates/foxhold-lab/src/replay.rs
@@ -92,18 +92,12 @@
 
 /// Plays a trace against a fleet of its own: 3 caches, 3 parents and an origin.
 pub async fn play(lines: &[Line], through: &Through) -> Result<Played, Failure> {
-    static NEXT: AtomicUsize = AtomicUsize::new(0);
     let fleet = Fleet::start(3, 3).await?;
-    let folder = std::env::temp_dir();
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let file = folder.join(format!("foxhold-lab-{}-{number}.json", std::process::id()));
-    std::fs::write(&file, fleet.config("127.0.0.1:0", SEED))?;
-    let started = match through {
-        Through::Daemon(program) => daemon(program, &file),
-        Through::Library { altered } => library(&file, *altered).await,
+    let file = ConfigFile::write(&fleet, SEED)?;
+    let (address, running) = match through {
+        Through::Daemon(program) => daemon(program, &file.0)?,
+        Through::Library { altered } => library(&file.0, *altered).await?,
     };
-    std::fs::remove_file(&file)?;
-    let (address, running) = started?;
     let (lines, handle) = (lines.to_vec(), tokio::runtime::Handle::current());
     let (fleet, mut played) = tokio::task::spawn_blocking(move || {
         let _inside = handle.enter();
@@ -121,6 +115,26 @@
     played
 }
 
+/// The platform's configuration for a director before a fleet, in a file that goes when this is dropped.
+pub(crate) struct ConfigFile(pub(crate) PathBuf);
+
+impl ConfigFile {
+    pub(crate) fn write(fleet: &Fleet, seed: u64) -> Result<ConfigFile, Failure> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("foxhold-lab-{}-{number}.json", std::process::id());
+        let file = ConfigFile(std::env::temp_dir().join(name));
+        std::fs::write(&file.0, fleet.config("127.0.0.1:0", seed))?;
+        Ok(file)
+    }
+}
+
+impl Drop for ConfigFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
 /// What ends with a play.
 pub(crate) enum Running {
     Process(Child),
--- a/crates/foxhold-lab/src/trace.rs
+++ b/crates/foxhold-lab/src/trace.rs
@@ -139,19 +139,23 @@
 /// Left free round a trouble: the board's news has come by then, and what broke off has ended.
 const ROOM_MS: f64 = 96.0;
 
+/// The name of the object of that number, counted from 1.
+pub(crate) fn object(number: u64) -> String {
+    format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
 /// Draws a trace of so many requests with a drain, a crash, a slow parent and a purge of what is asked most.
 pub fn draw(requests: usize, seed: u64) -> Vec<Line> {
     let mut random = StdRng::seed_from_u64(seed);
     let popular = Zipf::new(400.0, 1.05).expect("a good law");
     let size = LogNormal::<f64>::new(5.0, 0.8).expect("a good law");
-    let object = |rank: f64| format!("{:016x}", (rank as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let troubles = [
         (1, Trouble::Drain("cache-1".into())),
         (2, Trouble::Crash("cache-2".into())),
         (4, Trouble::Back("cache-2".into())),
         (5, Trouble::Slow("parent-1".into(), 24)),
         (6, Trouble::Slow("parent-1".into(), 0)),
-        (7, Trouble::Purge(object(1.0))),
+        (7, Trouble::Purge(object(1))),
         (8, Trouble::Crash("parent-2".into())),
     ];
     let (mut lines, mut at, mut step) = (Vec::new(), 0.0, STEP_MS);
@@ -178,7 +182,7 @@
             at_ms: at,
             step: Step::Ask(Asked {
                 class: class.into(),
-                object: object(rank),
+                object: object(rank as u64),
                 part: random.random_range(0..3),
                 group: rank as u32 % 32,
                 size_kb: size.sample(&mut random).clamp(1.0, 4_000.0).round(),
--- a/tests/library.rs
+++ b/tests/library.rs
@@ -7,7 +7,7 @@
 use foxhold::director::{AskError, Director, Question, Stopped};
 use foxhold::sources::Told;
 use foxhold::transport::host::{Boxed, Exchange, Host};
-use standin::{listing, local, settings, Manner, Server};
+use standin::{listing, local, settings, want, Manner, Server};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -170,24 +170,7 @@
         let peer = servers.open(ServerId(1), &server.listing("s", "edge", "cache"), Reports::new(mailbox));
         let ticket = Ticket { request: 1, attempt: 0 };
         let until = tokio::time::Instant::now() + Duration::from_secs(1);
-        let text = |t: &str| -> Arc<str> { t.into() };
-        let want = Want {
-            ticket,
-            id: text("00000000000000aa"),
-            class: text("filing"),
-            object: text("one"),
-            part: None,
-            until,
-            send_by: until,
-            via: None,
-            keep: 0,
-            max_age_ms: 0,
-            join: false,
-            held_only: false,
-            renew: false,
-            known: None,
-            body: "a filing".into(),
-        };
+        let want = want(ticket, "00000000000000aa", "filing", b"a filing".to_vec(), until);
         peer.try_send(Order::Want(want)).expect("room");
         peer.try_send(Order::Forget(ticket)).expect("room");
         let told = tokio::time::timeout(Duration::from_secs(2), inbox.recv()).await.expect("word");
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -16,17 +16,20 @@
     path
 }
 
-/// Starts the program in an empty folder of its own, where no file under `deploy/` is found.
-fn start(config: &PathBuf) -> Running {
-    let child = Command::new(env!("CARGO_BIN_EXE_foxhold"))
+/// The program in an empty folder of its own, where no file under `deploy/` is found.
+fn program(config: &PathBuf) -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_foxhold"));
+    program
         .env("ROUTER_CONFIG", config)
         .env_remove("FOXHOLD_FRONT")
         .current_dir(std::env::temp_dir())
         .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program");
-    Running(Some(child))
+        .stderr(Stdio::piped());
+    program
+}
+
+fn start(config: &PathBuf) -> Running {
+    Running(Some(program(config).spawn().expect("the program")))
 }
 
 /// The program, which does not outlive a test that fails.
@@ -72,8 +75,13 @@
 
 /// The address in the program's first line.
 fn address(child: &mut Running) -> String {
+    address_in(&mut BufReader::new(child.child().stderr.take().expect("a pipe")))
+}
+
+/// The same of a log that is read on.
+fn address_in(log: &mut impl BufRead) -> String {
     let mut line = String::new();
-    BufReader::new(child.child().stderr.take().expect("a pipe")).read_line(&mut line).expect("a line");
+    log.read_line(&mut line).expect("a line");
     line.trim_end().rsplit(' ').next().expect("an address").to_owned()
 }
 
@@ -234,20 +242,10 @@
     local(async {
         let origin = Server::start(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
         let path = file("log", &config(&origin.address));
-        let mut child = Running(Some(
-            Command::new(env!("CARGO_BIN_EXE_foxhold"))
-                .env("ROUTER_CONFIG", &path)
-                .env("FOXHOLD_LOG", "debug")
-                .env_remove("FOXHOLD_FRONT")
-                .current_dir(std::env::temp_dir())
-                .stderr(Stdio::piped())
-                .spawn()
-                .expect("the program"),
-        ));
+        let mut child =
+            Running(Some(program(&path).env("FOXHOLD_LOG", "debug").spawn().expect("the program")));
         let mut log = BufReader::with_capacity(64, child.child().stderr.take().expect("a pipe"));
-        let mut line = String::new();
-        log.read_line(&mut line).expect("a line");
-        let address = line.trim_end().rsplit(' ').next().expect("an address").to_owned();
+        let address = address_in(&mut log);
         // Some 200 bytes each, where a pipe holds 64 KB.
         for n in 0..1_000 {
             let request = format!(
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -3,7 +3,7 @@
 mod standin;
 
 use foxhold::api::ServerId;
-use foxhold::core::{Broken, End, Message, Order, Peers, Reports, Ticket, Verdict, Want};
+use foxhold::core::{Broken, End, Message, Order, Peers, Reports, Ticket, Verdict};
 use foxhold::settings::Transport;
 use foxhold::transport::servers::Servers;
 use standin::{listing, local, transport, Manner, Server};
@@ -30,23 +30,7 @@
 
     async fn want(&self, attempt: u32, id: &str, body: Vec<u8>) {
         let until = Instant::now() + Duration::from_secs(20);
-        let want = Want {
-            ticket: Ticket { request: 1, attempt },
-            id: id.into(),
-            class: "videos".into(),
-            object: "aa".into(),
-            part: None,
-            until,
-            send_by: until,
-            via: None,
-            keep: 0,
-            max_age_ms: 0,
-            join: false,
-            held_only: false,
-            renew: false,
-            known: None,
-            body: body.into(),
-        };
+        let want = standin::want(Ticket { request: 1, attempt }, id, "videos", body, until);
         self.orders.send(Order::Want(want)).await.expect("an actor");
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,7 +5,7 @@
 
 use foxhold::api::*;
 use foxhold::core::{self, *};
-use quickcheck::Gen;
+use quickcheck::{Arbitrary, Gen};
 use standin::{listing, paused, settings};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -110,7 +110,7 @@
                 core.reports().send(Message::Purged { object: None, group: second as u32 % 32, at }).await;
             }
             for _ in 0..REQUESTS_A_SECOND {
-                let pick = quickcheck_pick(&mut gen);
+                let pick = u64::arbitrary(&mut gen);
                 let ask = Ask {
                     id: core.fresh_id(),
                     class: usize::from(pick.is_multiple_of(20)),
@@ -147,7 +147,3 @@
         assert!(growth < 4 << 20, "resident by quarters: {quarters:?}");
     });
 }
-
-fn quickcheck_pick(gen: &mut Gen) -> u64 {
-    <u64 as quickcheck::Arbitrary>::arbitrary(gen)
-}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use foxhold::api::*;
-use foxhold::core::{self, Clock, Core, Listing, Message};
+use foxhold::core::{self, Clock, Core, Listing, Message, Ticket, Want};
 use foxhold::fronts::serve::{self, Front, Places, Shared};
 use foxhold::settings::Transport;
 use foxhold::transport::servers::Servers;
@@ -175,6 +175,27 @@
     Transport { connect_timeout: Duration::from_millis(400), idle: Duration::from_secs(30), streams: 100 }
 }
 
+/// An attempt that asks for nothing but the object, to be sent and answered by then.
+pub fn want(ticket: Ticket, id: &str, class: &str, body: Vec<u8>, until: tokio::time::Instant) -> Want {
+    Want {
+        ticket,
+        id: id.into(),
+        class: class.into(),
+        object: "aa".into(),
+        part: None,
+        until,
+        send_by: until,
+        via: None,
+        keep: 0,
+        max_age_ms: 0,
+        join: false,
+        held_only: false,
+        renew: false,
+        known: None,
+        body: body.into(),
+    }
+}
+
 /// A director's core, whose servers are real sockets.
 pub fn start(settings: Settings, clock: Clock, members: Vec<Listing>) -> Core {
     let known = vec![Message::Members { full: true, members }];
