Say each thing once: usual connections, a configuration's servers, proofs, routes

Read again, with nothing changed in what it does: - the usual values of connections stood in the decoder, the builder and the tests: `Transport::default`; the share of descriptors for servers in three places: `Config::servers`; the builder's 256 is the operator's section's default. - whether an attempt may have run was worked out of its end beside the outcome that already says so; `Ledger::told` takes the outcome's `never_ran` now, and the time that an attempt took is reckoned once. - `DirectorLayer` looked through its routes twice for each request: once to match, once to name the object. - the doc of `Choice` left out its third part.

--- a/crates/foxhold-lab/src/replay.rs
+++ b/crates/foxhold-lab/src/replay.rs
@@ -187,8 +187,7 @@
 async fn library(config: &Path, altered: Option<usize>) -> Result<(String, Running), Failure> {
     let mut builder = Director::from_file(config)?;
     if let Some(nth) = altered {
-        let config = Config::read(config)?;
-        let servers = Servers::new(config.transport, config.sockets * 2 / 5);
+        let servers = Config::read(config)?.servers();
         builder = builder.transport(Altered { servers, left: Arc::new(AtomicUsize::new(nth)) });
     }
     let app = axum::Router::new()
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -181,7 +181,7 @@
             Message::Probed(number, result) => self.probed(number, result),
             Message::Members { full, members } => self.members(full, members),
             Message::Written => self.written += 1,
-            Message::Forgotten(ticket, how) => self.told(ticket.request, how),
+            Message::Forgotten(ticket, how) => self.told(ticket.request, how.never_ran()),
             Message::Drain(name, on, reply) => {
                 let _ = reply.send(self.drain(&name, on)); // who has gone wants none
             }
@@ -407,8 +407,8 @@
         self.drop_request(number, None);
     }
 
-    fn told(&mut self, number: u64, how: Broken) {
-        let settled = self.let_go.told(number, how);
+    fn told(&mut self, number: u64, never_ran: bool) {
+        let settled = self.let_go.told(number, never_ran);
         self.count_left(settled);
     }
 
@@ -516,10 +516,6 @@
     }
 
     fn ended(&mut self, ticket: Ticket, end: End) {
-        self.told(ticket.request, proven(&end));
-        if !self.attempts.contains_key(&ticket) {
-            return;
-        }
         let outcome = match &end {
             Ok(reply) => match reply.verdict {
                 // Nothing is unchanged for a client that has nothing: such an answer is spoilt.
@@ -533,6 +529,11 @@
             Err(broken) if broken.never_ran() => Outcome::ConnectError,
             Err(_) => Outcome::Reset,
         };
+        // Also of one that was called off: its client has left, and what it proves is counted.
+        self.told(ticket.request, outcome.never_ran());
+        if !self.attempts.contains_key(&ticket) {
+            return;
+        }
         if outcome == Outcome::Ok && self.expired(ticket.request) {
             self.expire(ticket.request);
         }
@@ -567,6 +568,7 @@
             Some(Verdict::Unchanged(tag)) => Some(Answer::Unchanged(tag)),
             _ => None,
         };
+        let took = self.clock.now().saturating_sub(out.sent);
         let name = |id: ServerId| self.servers.get(&id).map_or("?", |s| &*s.listing.name);
         tracing::debug!(
             parent: &live.span,
@@ -576,7 +578,7 @@
             rank = out.keep,
             outcome = ?outcome,
             note = ?note,
-            took_ms = self.clock.now().saturating_sub(out.sent) / 1000,
+            took_ms = took / 1000,
             "attempt"
         );
         let class = live.ask.class;
@@ -590,7 +592,7 @@
             attempt: ticket.attempt,
             server: out.server,
             outcome,
-            took: self.clock.now().saturating_sub(out.sent),
+            took,
             over,
             note,
             waited,
@@ -733,15 +735,6 @@
     opened.unwrap_or_else(|_| mpsc::channel(1).0)
 }
 
-/// What an end proves of whether the attempt ran.
-fn proven(end: &End) -> Broken {
-    match end {
-        Ok(Reply { verdict: Verdict::Miss | Verdict::Full | Verdict::Stale, .. }) => Broken::Unwritten,
-        Ok(_) => Broken::Answering,
-        Err(broken) => *broken,
-    }
-}
-
 /// A load report in the settings' order; empty unless all of it is there.
 fn report(settings: &Settings, gauges: &[(String, f64)]) -> Vec<f64> {
     let value = |name: &String| gauges.iter().find(|g| g.0 == *name).map(|g| g.1);
--- a/src/core/cancel.rs
+++ b/src/core/cancel.rs
@@ -4,7 +4,6 @@
 //! and that is told only by those who carry the attempts: whether one was taken out of a queue, or was on the
 //! wire. The ledger waits for their word and keeps to the safe side where none comes.
 
-use super::Broken;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -48,12 +47,12 @@
         None
     }
 
-    /// How far one of its attempts had come when it ended or was called off. Returns the request's class and
-    /// proof once that is settled.
-    pub fn told(&mut self, request: u64, how: Broken) -> Option<(Arc<str>, Proof)> {
+    /// Whether one of its attempts, which ended or was called off, surely never ran. Returns the request's
+    /// class and proof once that is settled.
+    pub fn told(&mut self, request: u64, never_ran: bool) -> Option<(Arc<str>, Proof)> {
         let waiting = self.0.get_mut(&request)?;
         waiting.out -= 1;
-        let proof = match how.never_ran() {
+        let proof = match never_ran {
             false => Proof::MayHaveRun,
             true if waiting.out == 0 => Proof::NeverRan,
             true => return None,
@@ -75,6 +74,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::core::Broken;
     use quickcheck::quickcheck;
 
     const HOW: [Broken; 5] =
@@ -85,7 +85,7 @@
         let (mut ledger, class) = (Ledger::default(), "filing".into());
         assert_eq!(ledger.left(1, &class, false, 0), Some(Proof::NeverRan));
         assert_eq!(ledger.left(2, &class, true, 1), Some(Proof::MayHaveRun));
-        assert_eq!(ledger.told(2, Broken::Unwritten), None, "what comes later changes nothing");
+        assert_eq!(ledger.told(2, Broken::Unwritten.never_ran()), None, "what comes later changes nothing");
         assert_eq!(ledger.waiting(), 0);
     }
 
@@ -110,7 +110,8 @@
             }
             let ends: Vec<Broken> = ends.iter().map(|n| HOW[usize::from(*n) % HOW.len()]).collect();
             let none = ledger.left(7, &class, false, ends.len()).is_none();
-            let told: Vec<Proof> = ends.iter().filter_map(|how| ledger.told(7, *how)).map(|t| t.1).collect();
+            let told = ends.iter().filter_map(|how| ledger.told(7, how.never_ran()));
+            let told: Vec<Proof> = told.map(|t| t.1).collect();
             let worst = if ends.iter().all(|e| e.never_ran()) { Proof::NeverRan } else { Proof::MayHaveRun };
             none && told == [worst] && ledger.waiting() == 0
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,7 +11,6 @@
 use crate::signed::Counts;
 use crate::sources::watched::Watched;
 use crate::sources::{Board, Membership, XdsFile};
-use crate::transport::servers::Servers;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -38,8 +37,8 @@
     terminated: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let (to_board, board) = watch::channel(config.board.clone());
-    let first = config.clone();
-    let Config { listen, ops, seed, sockets, settings, transport, rev, known, .. } = config;
+    let (first, servers) = (config.clone(), Box::new(config.servers()));
+    let Config { listen, ops, seed, sockets, settings, rev, known, .. } = config;
     let clock = Clock::system();
     let Operator { signed, xds, .. } = operator;
     let keyed = signed.map(|file| Ok::<_, String>((Watched::open(file.keys.clone(), parse_keys)?, file)));
@@ -49,7 +48,6 @@
     let mut sources: Vec<Box<dyn Membership>> = Vec::new();
     sources.extend(xds.map(|path| Box::new(XdsFile::new(path)) as Box<dyn Membership>));
     sources.push(Box::new(Board { address: board, rev, known, purges_only }));
-    let servers = Box::new(Servers::new(transport, sockets * 2 / 5));
     let running = start_core(settings, seed, clock, servers, sources)?;
     let core = running.core;
     let reloads = Rc::new(Reloads::default());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -297,7 +297,7 @@
     started: bool,
 }
 
-/// The server to ask, and the source of a fill.
+/// The server to ask, the source of a fill, and whether that gives only what it holds.
 type Choice = (ServerId, Option<ServerId>, bool);
 
 /// One gateway's decisions.
--- a/src/director/builder.rs
+++ b/src/director/builder.rs
@@ -3,6 +3,7 @@
 use super::{BuildError, Config, Control, Director, Shutdown};
 use crate::api::{Settings, SettingsError};
 use crate::core::{self, Clock, Core, Peers, Running};
+use crate::operator::LibrarySection;
 use crate::settings::Transport;
 use crate::sources::{Board, Membership};
 use crate::transport::servers::Servers;
@@ -11,8 +12,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
-/// Descriptors that connections to servers may hold, unless told otherwise.
-const DESCRIPTORS: usize = 256;
 /// How often a shutdown looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -27,28 +26,26 @@
 
 impl Builder {
     pub(super) fn new(settings: Settings) -> Self {
-        let wire = Transport {
-            connect_timeout: Duration::from_millis(400),
-            idle: Duration::from_secs(30),
-            streams: 100,
-        };
         Builder {
             settings,
             seed: std::process::id().into(),
             clock: Clock::system(),
             sources: Vec::new(),
-            peers: Box::new(Servers::new(wire, DESCRIPTORS)),
+            peers: Box::new(Servers::new(Transport::default(), LibrarySection::default().descriptors)),
         }
     }
 
     pub(super) fn from_config(config: Config) -> Self {
-        let Config { board, seed, sockets, settings, transport, rev, known, .. } = config;
+        let servers = config.servers();
+        let Config { board, seed, settings, rev, known, .. } = config;
         // The address stays: nobody else holds the sender.
         let address = watch::channel(board).1;
-        Builder::new(settings)
-            .seed(seed)
-            .transport(Servers::new(transport, sockets * 2 / 5))
-            .membership(Board { address, rev, known, purges_only: false })
+        Builder::new(settings).seed(seed).transport(servers).membership(Board {
+            address,
+            rev,
+            known,
+            purges_only: false,
+        })
     }
 
     /// Where members come from; called again it adds a further source. Without one there are only those that
--- a/src/director/config.rs
+++ b/src/director/config.rs
@@ -3,6 +3,7 @@
 use crate::api::Settings;
 use crate::settings::{check_limits, decode_settings, decode_transport, Transport};
 use crate::sources::board::{self, Notice};
+use crate::transport::servers::Servers;
 use miniserde::json::{self, Value};
 use miniserde::Deserialize;
 use std::collections::BTreeSet;
@@ -88,6 +89,11 @@
         })
     }
 
+    /// How servers are reached by it: two fifths of the descriptors are for connections to them.
+    pub fn servers(&self) -> Servers {
+        Servers::new(self.transport.clone(), self.sockets * 2 / 5)
+    }
+
     /// Whether a later configuration may take this one's place. Guards against a file that was cut or put
     /// together badly and can be read all the same: what this one tells it must tell too.
     pub fn may_follow(&self, before: &Config) -> Result<(), String> {
--- a/src/fronts/signed.rs
+++ b/src/fronts/signed.rs
@@ -2,8 +2,7 @@
 
 use super::http::{Head, Response};
 use super::serve::Front;
-use crate::core::bare_tag;
-use crate::core::{Answer, Ask, Clock, Core};
+use crate::core::{bare_tag, Answer, Ask, Clock, Core};
 use crate::signed::{self, Counts, Denied, KeyFile, Keys, Worded};
 use crate::sources::watched::Watched;
 use bytes::Bytes;
--- a/src/middleware/director.rs
+++ b/src/middleware/director.rs
@@ -7,7 +7,7 @@
 use crate::signed::{self, Counts, Grant, Unfit};
 use bytes::Bytes;
 use http::header::{ALLOW, IF_NONE_MATCH};
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Uri};
 use http_body_util::{BodyExt, Limited};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
@@ -103,9 +103,10 @@
 
     fn call(&mut self, request: Request<B>) -> Self::Future {
         let (shared, place) = (self.shared.clone(), self.place.take());
+        let target = shared.target(request.uri());
         // Called without being asked whether it is ready: there may be a place all the same.
         let place = place.or_else(|| shared.places.clone().try_acquire_owned().ok());
-        Box::pin(async move { Ok(shared.serve(request, place).await) })
+        Box::pin(async move { Ok(shared.serve(request, target, place).await) })
     }
 }
 
@@ -161,18 +162,33 @@
     }
 
     fn call(&mut self, request: Request<B>) -> Self::Future {
-        if self.shared.routes.as_ref().is_none_or(|r| r.find(request.uri().path()).is_none()) {
+        let Some(target) = self.shared.target(request.uri()) else {
             return Box::pin(self.inner.call(request));
-        }
+        };
         let shared = self.shared.clone();
         let place = shared.places.clone().try_acquire_owned().ok();
-        Box::pin(async move { Ok(shared.serve(request, place).await) })
+        Box::pin(async move { Ok(shared.serve(request, Some(target), place).await) })
     }
 }
 
 impl Shared {
+    /// What is asked of the director, as `/CLASS/OBJECT` with the query; none: no route matches.
+    fn target(&self, uri: &Uri) -> Option<String> {
+        let Some(routes) = &self.routes else {
+            return Some(uri.path_and_query().map_or("/", |p| p.as_str()).to_owned());
+        };
+        let (class, object) = routes.find(uri.path())?;
+        let query = uri.query().map_or(String::new(), |q| format!("?{q}"));
+        Some(format!("/{class}/{object}{query}"))
+    }
+
     /// Answers one request. Dropping the future lets go of it, wherever it is.
-    async fn serve<B, R>(&self, request: Request<B>, place: Option<OwnedSemaphorePermit>) -> Response<R>
+    async fn serve<B, R>(
+        &self,
+        request: Request<B>,
+        target: Option<String>,
+        place: Option<OwnedSemaphorePermit>,
+    ) -> Response<R>
     where
         B: http_body::Body + Send + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -186,7 +202,7 @@
             return full();
         }
         let (parts, body) = request.into_parts();
-        let ask = match self.ask(&parts) {
+        let ask = match self.ask(&parts, target) {
             Ok(ask) => ask,
             Err(unfit) => return self.bad(unfit.status, unfit.allow),
         };
@@ -200,19 +216,10 @@
         say(&self.counts, signed::word(Ok(answer)))
     }
 
-    fn ask(&self, parts: &http::request::Parts) -> Result<Ask, Unfit> {
-        let target = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    fn ask(&self, parts: &http::request::Parts, target: Option<String>) -> Result<Ask, Unfit> {
+        let target = target.ok_or(Unfit { status: 404, allow: None })?;
         // Without the layer that checks credentials nothing expires.
         let valid_until = parts.extensions.get::<Grant>().and_then(|grant| grant.valid_until);
-        let target = match &self.routes {
-            None => target.to_owned(),
-            Some(routes) => {
-                let (class, object) =
-                    routes.find(parts.uri.path()).ok_or(Unfit { status: 404, allow: None })?;
-                let query = parts.uri.query().map_or(String::new(), |q| format!("?{q}"));
-                format!("/{class}/{object}{query}")
-            }
-        };
         let grant = Grant { target, valid_until };
         let known = only(&parts.headers, &IF_NONE_MATCH).map(bare_tag);
         let (core, method) = (&self.handle.core, parts.method.as_str());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -242,13 +242,22 @@
     pub streams: usize,
 }
 
-/// Reads the part of the settings that concerns connections; what is not told gets a usual value.
+impl Default for Transport {
+    /// The usual values.
+    fn default() -> Self {
+        let (connect_timeout, idle) = (Duration::from_millis(400), Duration::from_secs(30));
+        Transport { connect_timeout, idle, streams: 100 }
+    }
+}
+
+/// Reads the part of the settings that concerns connections; what is not told gets its usual value.
 pub fn decode_transport(json: &Value) -> Result<Transport, String> {
     let bounds = Params(json, "").part("bounds", "bounds.")?;
-    let ms = |key, none| bounds.time(key, none).map(Duration::from_micros);
+    let usual = Transport::default();
+    let time = |key, usual: Duration| bounds.time(key, usual.as_millis() as f64).map(Duration::from_micros);
     Ok(Transport {
-        connect_timeout: ms("connectTimeoutMs", 400.0)?,
-        idle: ms("connIdleMs", 30_000.0)?,
-        streams: bounds.real("streamsPerConn", 100.0)?.max(1.0) as usize,
+        connect_timeout: time("connectTimeoutMs", usual.connect_timeout)?,
+        idle: time("connIdleMs", usual.idle)?,
+        streams: bounds.real("streamsPerConn", usual.streams as f64)?.max(1.0) as usize,
     })
 }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -9,7 +9,6 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -172,7 +171,7 @@
 }
 
 pub fn transport() -> Transport {
-    Transport { connect_timeout: Duration::from_millis(400), idle: Duration::from_secs(30), streams: 100 }
+    Transport::default()
 }
 
 /// An attempt that asks for nothing but the object, to be sent and answered by then.
