Suspect a source that caches can't reach when they turn the fill away; back trials off

The module took AGAIN as a busy cache (busy_until on the cache) and never blamed the source, so no gateway ever suspected the lost parents. Ruled out: the probe (a probe that times out adds strikes, it does not end trials), and large objects (none past 2.9 MB).

Change: decide.rs takes Full with SourceLost in the arm of Failed, where the source is guilty; a suspected server's gap between trials doubles with each failed trial from 0.7 s to 5.6 s, spread by half either way.

Tests: tests/scale.rs, both fail on the program before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,8 +39,9 @@
 const QUICK_ERROR: Micros = 20_000;
 /// So many of these for one request, from different servers, show that it is.
 const ERRORS: usize = 2;
-/// A suspected server gets one trial request in this time.
+/// A suspected server's first gap between trials; each trial that fails doubles it, up to the most.
 const TRIAL_GAP: Micros = 700_000;
+const TRIAL_MOST: Micros = 5_600_000;
 /// A server that turned work away is passed over for this long.
 const BUSY: Micros = 60_000;
 /// Share of what pushes a cold server over that all gateways together may use,
@@ -144,6 +145,7 @@
     last_ok: Micros,
     /// Suspected: when the next trial request may go there.
     trial_at: Option<Micros>,
+    gap: Micros,
     busy_until: Micros,
     /// When an attempt there last broke off.
     broke_at: Micros,
@@ -392,9 +394,7 @@
             _ => self.relist_wait = RELIST,
         }
         if kind != ListKind::Changes {
-            for server in self.servers.values_mut() {
-                server.member.state = MemberState::Gone;
-            }
+            self.servers.values_mut().for_each(|s| s.member.state = MemberState::Gone);
         }
         for member in members {
             let start = -self.lump() * unit(self.draw());
@@ -478,7 +478,7 @@
 
     /// Strikes against a server; enough of them without a success in between make it suspected.
     /// Guards against crashes, silence and hangs ahead of the list; a server that is merely slow goes on
-    /// succeeding. It can harm where so little is sent that chance failures come in a row; trials end that.
+    /// succeeding. Trials, ever further apart, end chance failures in a row and keep a fleet off a lost one.
     fn blame(&mut self, id: ServerId, strikes: f64, now: Micros, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.strikes += strikes;
@@ -489,7 +489,8 @@
             return;
         }
         let new = s.trial_at.is_none();
-        s.trial_at = Some(now + TRIAL_GAP);
+        s.gap = if new { TRIAL_GAP } else { (2 * s.gap).min(TRIAL_MOST) };
+        s.trial_at = Some(now + (s.gap as f64 * (0.5 + unit(mix(self.random, id.0.into())))) as Micros);
         if new {
             out.push(Action::Log(format!("server {} suspected", id.0)));
             let stuck = |h: &&Held| {
@@ -716,8 +717,7 @@
         let first = *self.hashed(held.request.object, &self.parents).first()?;
         let class = &self.settings.classes[held.request.class];
         let fits = !class.write && held.attempts.is_empty() && self.servers[&first].busy_until <= now;
-        let fits = fits && self.healthy(first, now) && self.cold_take(first, held.work, now, false);
-        fits.then_some(first)
+        (fits && self.healthy(first, now) && self.cold_take(first, held.work, now, false)).then_some(first)
     }
 
     /// Whether a source has room for one more of our fills. The window's fraction is drawn for: among many
@@ -768,7 +768,7 @@
             self.cold_take(server, asked, now, true);
             if let Some(s) = self.servers.get_mut(&server) {
                 s.out += 1;
-                s.trial_at = s.trial_at.map(|_| now + TRIAL_GAP);
+                s.trial_at = s.trial_at.map(|_| now + s.gap);
             }
             if let Some(source) = source.filter(|_| !direct) {
                 self.cold_take(source, held.work, now, true);
@@ -776,7 +776,7 @@
             }
             if let Some(s) = source.and_then(|s| self.servers.get_mut(&s)) {
                 s.fills += 1;
-                s.trial_at = s.trial_at.map(|_| now + TRIAL_GAP);
+                s.trial_at = s.trial_at.map(|_| now + s.gap);
             }
             let ran = Attempt { out: true, may_have_run: true, ..Attempt::default() };
             held.attempts.push(Attempt { server, source, sent: now, booked, ..ran });
@@ -932,7 +932,7 @@
                     s.pace = s.pace * kept + work + HIT_EXTRA;
                 }
             }
-            Outcome::Full => {
+            Outcome::Full if end.note != Note::SourceLost => {
                 let told = matches!(end.note, Note::SourceRefused | Note::OriginFailed);
                 let untold = self.settings.notes != Notes::All && self.load(server) < ROOMY;
                 let at_source = source.is_some() && !direct && (told || untold);
@@ -944,7 +944,7 @@
             Outcome::ConnectError | Outcome::Reset if alive || one_break => {}
             Outcome::Failed if error => self.blame(server, ERROR_STRIKE, now, out),
             Outcome::ConnectError | Outcome::Reset => self.blame(server, HARD_STRIKE, now, out),
-            Outcome::Failed | Outcome::TimedOut => {
+            Outcome::Failed | Outcome::TimedOut | Outcome::Full => {
                 let guilty = match end.note {
                     Note::SourceRefused | Note::SourceLost => source,
                     Note::NoPlace | Note::OriginFailed => None,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -307,3 +307,37 @@
     source(&mut g, theirs[0]);
     assert_eq!(g.peek(object), ORIGIN);
 }
+
+/// A source that a cache could not reach, told by a refusal (`AGAIN` with `up_lost`), is as lost as one
+/// told by an error: nothing ran, yet its objects go to the next parent. Before, each gateway went on
+/// sending there.
+#[test]
+fn a_source_that_caches_can_t_reach_is_suspected_though_they_turn_the_fill_away() {
+    let mut g = Gateway::with(settings(), &[1, 2, 3, 11, 12, 20]);
+    let object = g.pair_of(11);
+    for _ in 0..3 {
+        let one = g.send(object);
+        assert_eq!(one.source(), ServerId(11));
+        g.end(&one, 0, Outcome::Full, Note::SourceLost);
+        g.now += 10_000;
+    }
+    assert_ne!(g.peek(object), ServerId(11), "a lost parent is passed over");
+}
+
+/// Trials at a server that stays lost come ever further apart: a hundred gateways each trying every 0.7 s
+/// made a steady share of all fills fail.
+#[test]
+fn trials_at_a_lost_source_back_off() {
+    let mut g = Gateway::with(settings(), &[1, 2, 3, 11, 12, 20]);
+    let object = g.pair_of(11);
+    let (mut trials, start) = (0, g.now);
+    while g.now < start + 20 * SECOND {
+        let one = g.send(object);
+        let lost = one.source() == ServerId(11);
+        trials += usize::from(lost);
+        g.end(&one, 0, if lost { Outcome::Failed } else { Outcome::Ok }, Note::SourceLost);
+        g.now += 50_000;
+    }
+    // Three strikes, then a trial at 0.7, 1.4, 2.8 and 5.6 s at most (each between half and half again).
+    assert!((4..=10).contains(&trials), "{trials} trials in 20 s; every 0.7 s would be 28");
+}
