--- a/src/decide.rs
+++ b/src/decide.rs
@@ -143,7 +143,7 @@
     /// A probe of ours is out there.
     probing: bool,
     last_ok: Micros,
-    /// Suspected: when the next trial request may go there.
+    /// Suspected: when the next trial request may go there, and the gap that it came after.
     trial_at: Option<Micros>,
     gap: Micros,
     busy_until: Micros,
