A harness of many processes: stand-ins with capacity, link and process faults, plans as data

Need: how many processes behave together under faults could not be shown. What one director splits over two caches two hundred send to one, and nothing in the project could measure it.

--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -2,7 +2,14 @@
 //!
 //! | module | holds |
 //! | --- | --- |
-//! | [`fleet`] | stand-in caches, parents, origin and notice board on loopback |
+//! | [`model`] | what a stand-in server can do and hold; no clock, no I/O |
+//! | [`standin`] | one stand-in server on a socket, as a process or a task |
+//! | [`relay`] | a link between two processes, hurt and healed |
+//! | [`plan`] | a play of many processes as data: who takes part, what is asked, what goes wrong |
+//! | [`load`] | an open-loop load, and what comes back held against the rules |
+//! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
+//! | [`report`] | its figures as JSON, and one page with plots |
+//! | [`fleet`] | stand-in caches, parents, origin and notice board within this process |
 //! | [`overhead`] | what the director costs a request, as daemon and as library |
 //! | [`trace`] | traces of requests and troubles: the file, and how one is drawn |
 //! | [`replay`] | a trace through the daemon's process or the library in an axum host, and the comparison |
@@ -10,6 +17,13 @@
 #![forbid(unsafe_code)]
 
 pub mod fleet;
+pub mod harness;
+pub mod load;
+pub mod model;
 pub mod overhead;
+pub mod plan;
+pub mod relay;
 pub mod replay;
+pub mod report;
+pub mod standin;
 pub mod trace;
--- /dev/null
+++ b/crates/foxhold-lab/src/load.rs
@@ -0,0 +1,374 @@
+//! An open-loop load over HTTP: arrivals are drawn ahead and wait for no answer, latency counts from the intended
+//! start, and what comes back is held against the rules.
+
+use crate::model::size_kb;
+use crate::plan::{Plan, What};
+use crate::standin::unix_ms;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, Zipf};
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A request, drawn ahead.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// Seconds after the load's start; below 0 while the fleet settles.
+    pub at: f64,
+    /// The director's number, from 0.
+    pub director: usize,
+    /// The class's place in the plan.
+    pub class: usize,
+    /// The object's number, from 1.
+    pub object: u64,
+}
+
+/// The name of an object by its number.
+pub fn object(number: u64) -> String {
+    format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+/// What a fault makes of the load while it lasts, from `at` for `lasts` seconds.
+fn during(plan: &Plan, what: What, at: f64) -> Option<&crate::plan::Fault> {
+    let holds = |f: &&crate::plan::Fault| {
+        f.what == what && at >= f.at && f.lasts.is_none_or(|lasts| at < f.at + lasts)
+    };
+    plan.faults.iter().filter(holds).max_by(|a, b| a.at.total_cmp(&b.at))
+}
+
+/// Draws all arrivals of a play, from `settle` seconds before its start.
+pub fn draw(plan: &Plan, settle: f64) -> Vec<Arrival> {
+    let mut random = StdRng::seed_from_u64(plan.seed);
+    let (Ok(popular), Ok(gap)) = (Zipf::new(plan.objects as f64, plan.zipf), Exp::new(plan.rate)) else {
+        return Vec::new(); // a plan that was checked has good laws
+    };
+    let shares: f64 = plan.classes.iter().map(|c| c.share).sum();
+    // This part of the directors sees several times what the others see.
+    let busy = (plan.often_part * plan.directors as f64).round() as usize;
+    let weight = busy as f64 * plan.often + (plan.directors - busy) as f64;
+    let (mut at, mut arrivals) = (-settle, Vec::new());
+    loop {
+        let times = during(plan, What::Burst, at).map_or(1.0, |f| f.times.max(0.01));
+        at += gap.sample(&mut random) / times;
+        if at >= plan.seconds {
+            return arrivals;
+        }
+        let mut left = random.random::<f64>() * weight;
+        let director = if left < busy as f64 * plan.often {
+            (left / plan.often) as usize
+        } else {
+            left -= busy as f64 * plan.often;
+            busy + left as usize
+        };
+        let mut drawn = random.random::<f64>() * shares;
+        let class = plan.classes.iter().position(|c| {
+            drawn -= c.share;
+            drawn < 0.0
+        });
+        let rank = popular.sample(&mut random) as u64;
+        let hot = during(plan, What::Hot, at).filter(|f| random.random::<f64>() < f.share);
+        arrivals.push(Arrival {
+            at,
+            director: director.min(plan.directors - 1),
+            class: class.unwrap_or(0),
+            object: hot.map_or(rank, |f| f.object),
+        });
+    }
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// With the bytes.
+    Served,
+    /// Turned away.
+    Refused,
+    /// Any other answer.
+    Failed,
+    /// Its director was killed or stopped under it.
+    Cut,
+    /// Its director was not there.
+    Unreached,
+    /// A rule is broken: no answer in time, or one that can't be read.
+    Lost,
+}
+
+/// A request that has ended.
+#[derive(Clone, Debug, Serialize)]
+pub struct Ended {
+    /// Seconds after the load's start at which it was to start.
+    pub at: f64,
+    /// Milliseconds from then to the end of the answer.
+    pub took: f64,
+    /// How it ended.
+    pub end: End,
+    /// The class's place.
+    pub class: usize,
+    /// The director's number.
+    pub director: usize,
+    /// Whether it was served within its aim.
+    pub in_time: bool,
+}
+
+/// A purge that clients know of.
+#[derive(Clone, Debug)]
+pub struct Purged {
+    /// An object; none: these groups.
+    pub object: Option<String>,
+    /// Groups that are purged whole.
+    pub groups: Vec<u32>,
+    /// Unix milliseconds.
+    pub ms: u64,
+}
+
+impl Purged {
+    fn names(&self, object: &str) -> bool {
+        self.object
+            .as_ref()
+            .map_or_else(|| self.groups.contains(&crate::model::group(object)), |o| o == object)
+    }
+}
+
+/// One director as its clients see it.
+#[derive(Default)]
+pub struct Door {
+    /// Where it listens; empty: nowhere now.
+    pub address: RefCell<String>,
+    /// Killed, stopped or started again at these moments: what was open then may be cut.
+    pub disturbed: RefCell<Vec<Instant>>,
+    /// It may hear of purges late: its link to the board was hurt, or it was stopped.
+    pub hears_late: Cell<bool>,
+    idle: RefCell<Vec<TcpStream>>,
+}
+
+/// All that was asked and came of it.
+#[derive(Default)]
+pub struct Book {
+    /// Requests that have ended.
+    pub ended: Vec<Ended>,
+    /// Broken rules, each in a line.
+    pub breaches: Vec<String>,
+    /// Purges so far.
+    pub purges: Vec<Purged>,
+    /// Requests under way.
+    pub open: usize,
+    /// By tenth of a second from the settling's start: the most under way.
+    pub in_flight: Vec<usize>,
+}
+
+/// The clients of a play.
+pub struct Clients {
+    plan: Plan,
+    /// By director.
+    pub doors: Vec<Rc<Door>>,
+    /// What came of it.
+    pub book: Rc<RefCell<Book>>,
+}
+
+impl Clients {
+    /// Clients of so many directors.
+    pub fn new(plan: &Plan) -> Clients {
+        let doors = (0..plan.directors).map(|_| Rc::default()).collect();
+        Clients { plan: plan.clone(), doors, book: Rc::default() }
+    }
+
+    /// Sends all arrivals at their times; `zero` is the load's start.
+    pub async fn run(self: Rc<Self>, arrivals: Vec<Arrival>, zero: Instant, settle: f64) {
+        let mut tasks = tokio::task::JoinSet::new();
+        for (n, arrival) in arrivals.into_iter().enumerate() {
+            let due = if arrival.at >= 0.0 {
+                zero + Duration::from_secs_f64(arrival.at)
+            } else {
+                zero - Duration::from_secs_f64(-arrival.at)
+            };
+            tokio::time::sleep_until(due.into()).await;
+            let (clients, plan_at) = (Rc::clone(&self), arrival.at);
+            let bin = ((plan_at + settle) * 10.0).max(0.0) as usize;
+            {
+                let mut book = self.book.borrow_mut();
+                book.open += 1;
+                if book.in_flight.len() <= bin {
+                    book.in_flight.resize(bin + 1, 0);
+                }
+                let open = book.open;
+                book.in_flight[bin] = book.in_flight[bin].max(open);
+            }
+            tasks.spawn_local(async move { clients.one(n as u64 + 1, &arrival, due).await });
+            while tasks.try_join_next().is_some() {}
+        }
+        while tasks.join_next().await.is_some() {}
+    }
+
+    async fn one(&self, number: u64, arrival: &Arrival, due: Instant) {
+        let class = &self.plan.classes[arrival.class];
+        let door = &self.doors[arrival.director];
+        let object = object(arrival.object);
+        let kb = size_kb(&object, class.work_ms / 1e3 * FLOW);
+        let head = format!(
+            "{} /ops/{}/{object}?block=0 HTTP/1.1\r\nHost: lab\r\nX-Job-Id: {number:016x}\r\nX-Allow-Ms: {}\r\n\
+             X-Family: {}\r\nX-Ram-Kb: {kb:.1}\r\nContent-Length: {}\r\n\r\n{}",
+            if class.write { "PUT" } else { "GET" },
+            class.name,
+            class.give_up_ms,
+            crate::model::group(&object),
+            if class.write { 8 } else { 0 },
+            if class.write { "a filing" } else { "" },
+        );
+        let patience = Duration::from_secs_f64(class.give_up_ms / 1e3 + 0.25);
+        let (begun, sent_ms) = (Instant::now(), unix_ms());
+        let answer = tokio::time::timeout(patience, self.ask(door, &head)).await;
+        let took = due.elapsed().as_secs_f64() * 1e3;
+        let disturbed = |margin: u64| {
+            let since = begun - Duration::from_millis(margin);
+            door.disturbed.borrow().iter().any(|at| *at >= since)
+        };
+        let mut breach = None;
+        let end = match answer {
+            Ok(Asked::Answer(200, body)) if class.write => {
+                if body.is_empty() {
+                    breach = Some("an empty answer to a write".into());
+                }
+                End::Served
+            }
+            Ok(Asked::Answer(200, body)) => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let minted = text.strip_prefix(&format!("{object}/0 ")).and_then(|m| m.parse::<u64>().ok());
+                match minted {
+                    None => breach = Some(format!("bytes that are not the object's: '{text}'")),
+                    Some(minted) => breach = self.too_old(door, &object, minted, sent_ms),
+                }
+                End::Served
+            }
+            Ok(Asked::Answer(429 | 503, _)) => End::Refused,
+            Ok(Asked::Answer(..)) => End::Failed,
+            Ok(Asked::Unreached) => End::Unreached,
+            // A director that was stopped answers late what it had taken: counted as cut, not as lost.
+            Ok(Asked::Broken) | Err(_) if disturbed(4_000) => End::Cut,
+            Ok(Asked::Broken) => {
+                breach = Some("the connection ended without a whole answer".into());
+                End::Lost
+            }
+            Err(_) => {
+                breach = Some(format!("no answer within {:.0} ms", class.give_up_ms));
+                End::Lost
+            }
+        };
+        let mut book = self.book.borrow_mut();
+        book.open -= 1;
+        if let Some(breach) = breach {
+            let line = format!(
+                "request {number:016x} at {:.3} s, director-{}: {breach}",
+                arrival.at,
+                arrival.director + 1
+            );
+            book.breaches.push(line);
+        }
+        let aim = class.aim_ms + class.stretch * kb / FLOW * 1e3;
+        let in_time = end == End::Served && took <= aim;
+        let (at, class, director) = (arrival.at, arrival.class, arrival.director);
+        book.ended.push(Ended { at, took, end, class, director, in_time });
+    }
+
+    /// A copy older than a purge that the director was told of over a second before the request was sent.
+    fn too_old(&self, door: &Door, object: &str, minted: u64, sent_ms: u64) -> Option<String> {
+        let grace = if door.hears_late.get() { 8_050 } else { 1_050 };
+        let book = self.book.borrow();
+        let broken = |p: &&Purged| p.names(object) && minted < p.ms && sent_ms > p.ms + grace;
+        let purge = book.purges.iter().find(broken)?;
+        Some(format!(
+            "a copy {} ms older than a purge, sent {} ms after it was told",
+            purge.ms - minted,
+            sent_ms - purge.ms
+        ))
+    }
+
+    async fn ask(&self, door: &Door, head: &str) -> Asked {
+        let kept = door.idle.borrow_mut().pop();
+        if let Some(mut stream) = kept {
+            let begun = Instant::now();
+            match exchange(&mut stream, head).await {
+                Some((status, body)) => {
+                    door.idle.borrow_mut().push(stream);
+                    return Asked::Answer(status, body);
+                }
+                // A request that crosses a close goes again, once.
+                None if begun.elapsed() < Duration::from_millis(50) => {}
+                None => return Asked::Broken,
+            }
+        }
+        let address = door.address.borrow().clone();
+        if address.is_empty() {
+            return Asked::Unreached;
+        }
+        let Ok(mut stream) = TcpStream::connect(&address).await else { return Asked::Unreached };
+        let _ = stream.set_nodelay(true);
+        match exchange(&mut stream, head).await {
+            Some((status, body)) => {
+                door.idle.borrow_mut().push(stream);
+                Asked::Answer(status, body)
+            }
+            None => Asked::Broken,
+        }
+    }
+}
+
+/// KB a second of one transfer at full pace, as directors are told.
+pub const FLOW: f64 = 9_500.0;
+
+enum Asked {
+    Answer(u16, Vec<u8>),
+    Unreached,
+    Broken,
+}
+
+/// One request and its answer; none: the connection ended first.
+async fn exchange(stream: &mut TcpStream, head: &str) -> Option<(u16, Vec<u8>)> {
+    stream.write_all(head.as_bytes()).await.ok()?;
+    let (mut bytes, mut scrap) = (Vec::with_capacity(512), [0; 2048]);
+    loop {
+        let count = stream.read(&mut scrap).await.ok().filter(|n| *n > 0)?;
+        bytes.extend_from_slice(&scrap[..count]);
+        let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
+        let text = std::str::from_utf8(&bytes[..end]).ok()?;
+        let header = |name: &str| {
+            let mut pairs = text.lines().filter_map(|l| l.split_once(':'));
+            pairs.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim())
+        };
+        let length: usize = header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+        if bytes.len() >= end + 4 + length {
+            let status = text.get(9..12)?.parse().ok()?;
+            return Some((status, bytes[end + 4..end + 4 + length].to_vec()));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_seed_draws_the_same_load_and_it_is_as_the_plan_says() {
+        let plan = Plan::read(
+            "{directors: 20, often_part: 0.2, often: 5, rate: 2000, seconds: 10, \
+             faults: [{at: 5, do: hot, share: 0.25, object: 9001}]}",
+        )
+        .expect("a plan");
+        let arrivals = draw(&plan, 2.0);
+        assert_eq!(arrivals, draw(&plan, 2.0));
+        assert_ne!(arrivals, draw(&Plan { seed: 2, ..plan.clone() }, 2.0));
+        let count = arrivals.len() as f64;
+        assert!((count / 24_000.0 - 1.0).abs() < 0.03, "{count}");
+        let hot = |from: f64, to: f64| {
+            let all: Vec<_> = arrivals.iter().filter(|a| a.at >= from && a.at < to).collect();
+            all.iter().filter(|a| a.object == 9001).count() as f64 / all.len() as f64
+        };
+        assert!(hot(-2.0, 5.0) == 0.0 && (hot(5.0, 10.0) - 0.25).abs() < 0.02);
+        let busy = arrivals.iter().filter(|a| a.director < 4).count() as f64 / count;
+        assert!((busy - 20.0 / 36.0).abs() < 0.02, "{busy}");
+    }
+}
--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -2,7 +2,9 @@
 
 use clap::{Parser, Subcommand};
 use foxhold_lab::fleet::Fleet;
+use foxhold_lab::harness::{self, Programs, SETTLE};
 use foxhold_lab::overhead::{through_daemon, through_library};
+use foxhold_lab::plan::Plan;
 use foxhold_lab::replay::{compare, play, Failure, Played, Through};
 use foxhold_lab::trace;
 use std::path::PathBuf;
@@ -45,6 +47,35 @@
         #[arg(long)]
         alter: Option<usize>,
     },
+    /// Many processes of the director before stand-ins, with faults between them, by a plan in YAML
+    Fleet {
+        /// The plan; without one a calm play
+        file: Option<PathBuf>,
+        /// The director's program
+        #[arg(long, default_value = "target/release/foxhold")]
+        daemon: PathBuf,
+        /// Directors, in place of the plan's number
+        #[arg(long)]
+        directors: Option<usize>,
+        /// Seed, in place of the plan's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Seconds of load, in place of the plan's
+        #[arg(long)]
+        seconds: Option<f64>,
+        /// Where to write the figures, as JSON
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Where to write the page with plots
+        #[arg(long)]
+        html: Option<PathBuf>,
+    },
+    /// One stand-in server as a process: told on standard input, telling on standard output
+    #[command(hide = true)]
+    StandIn {
+        /// How it starts, as JSON
+        start: String,
+    },
     /// What the director costs a request, as daemon over loopback and as library, before the same stand-ins
     Overhead {
         /// The daemon's program
@@ -81,6 +112,32 @@
             trace::draw(requests, seed).iter().for_each(|line| println!("{line}"));
             Ok(true)
         }
+        Command::StandIn { start } => {
+            foxhold_lab::standin::process(serde_json::from_str(&start)?)?;
+            Ok(true)
+        }
+        Command::Fleet { file, daemon, directors, seed, seconds, json, html } => {
+            let mut plan = match file {
+                Some(file) => {
+                    let text =
+                        std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+                    Plan::read(&text).map_err(|e| format!("{}: {e}", file.display()))?
+                }
+                None => Plan::default(),
+            };
+            plan.directors = directors.unwrap_or(plan.directors);
+            plan.seed = seed.unwrap_or(plan.seed);
+            plan.seconds = seconds.unwrap_or(plan.seconds);
+            let played = fleet(&plan, &Programs::of(daemon)?)?;
+            print!("{}", played.summary());
+            if let Some(file) = json {
+                std::fs::write(file, serde_json::to_string(&played)?)?;
+            }
+            if let Some(file) = html {
+                std::fs::write(file, played.page()?)?;
+            }
+            Ok(played.breaches.is_empty())
+        }
         Command::Overhead { daemon, requests, servers, objects, at_once } => {
             let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
             let parents = (servers / 10).max(1);
@@ -127,6 +184,18 @@
     }
 }
 
+/// Plays a plan with a bar that shows how far it is.
+fn fleet(plan: &Plan, programs: &Programs) -> Result<foxhold_lab::report::Played, Failure> {
+    let bar = indicatif::ProgressBar::new((plan.seconds + SETTLE).ceil() as u64);
+    bar.set_message("seconds of load");
+    let moved = bar.clone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let progress = move |at: f64| moved.set_position((at + SETTLE).max(0.0) as u64);
+    let played = tokio::task::LocalSet::new().block_on(&runtime, harness::play(plan, programs, progress));
+    bar.finish_and_clear();
+    played
+}
+
 fn tell(name: &str, played: &Played) {
     let attempts: usize = played.requests.values().map(|(seen, _)| seen.len()).sum();
     let mut statuses = std::collections::BTreeMap::new();
--- /dev/null
+++ b/crates/foxhold-lab/src/report.rs
@@ -0,0 +1,396 @@
+//! What a play showed: figures as JSON, and one HTML page with plots.
+
+use crate::load::{Book, End};
+use crate::model::{Role, Spec};
+use crate::plan::{Plan, What};
+use crate::standin::Noted;
+use hdrhistogram::Histogram;
+use plotters::prelude::*;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+
+/// Milliseconds of the shortest window.
+const BIN: u64 = 100;
+
+/// What a play has seen of its processes.
+#[derive(Default)]
+pub struct Seen {
+    /// What servers told, in the order of its coming.
+    pub notes: Vec<(String, Noted)>,
+    /// When a director suspected a server: Unix milliseconds, and who.
+    pub suspicions: Vec<(u64, String)>,
+    /// Processes that ended by themselves, and panics.
+    pub panics: Vec<String>,
+    /// Where each director's board is.
+    pub boards: HashMap<String, String>,
+}
+
+/// A server's requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Load {
+    /// Requests of directors in tenths of a second, from the load's start.
+    pub tenths: Vec<u32>,
+    /// Requests of other servers, in all.
+    pub fills: u64,
+    /// Requests turned away unseen.
+    pub full: u64,
+}
+
+/// What came of a play.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    /// The plan, to be played again.
+    pub plan: Plan,
+    /// Broken rules, crashes and panics; a play with any has failed.
+    pub breaches: Vec<String>,
+    /// Requests by how they ended.
+    pub ends: BTreeMap<String, u64>,
+    /// Served within the aim, as a share of all that were asked of a director that was there.
+    pub in_time: f64,
+    /// Milliseconds from the intended start to the end of an answer that served.
+    pub p50: f64,
+    /// See `p50`.
+    pub p99: f64,
+    /// Requests of the busiest cache over the mean cache, each by its size, in windows of a second: the median.
+    pub busiest: f64,
+    /// The same where it was worst.
+    pub busiest_worst: f64,
+    /// Seconds in windows of two in which a cache got nothing while the mean cache got 20 a second or more.
+    pub idle_cache_s: f64,
+    /// Variance over mean of a cache's requests in tenths of a second; 1 is Poisson. The mean over caches.
+    pub dispersion: f64,
+    /// Requests of all directors at all servers in the busiest tenth of a second after a fault, over the mean.
+    pub peak: f64,
+    /// The same of the server where it was highest, over the mean of the servers of its role.
+    pub peak_server: f64,
+    /// Requests of caches at parents, and of parents and caches at the origin, over requests served.
+    pub parent_fills: f64,
+    /// See `parent_fills`.
+    pub origin_fills: f64,
+    /// Suspicions of servers by directors.
+    pub suspicions: usize,
+    /// By server.
+    pub load: BTreeMap<String, Load>,
+    /// By second: asked, served within the aim.
+    pub service: Vec<(u64, u64)>,
+    /// By tenth of a second of the load: most requests under way.
+    pub in_flight: Vec<usize>,
+}
+
+impl Played {
+    /// Reckons the figures.
+    pub(crate) fn new(
+        plan: &Plan,
+        specs: &BTreeMap<String, Spec>,
+        zero_ms: u64,
+        seen: Seen,
+        book: Book,
+    ) -> Played {
+        let tenths = (plan.seconds * 1e3 / BIN as f64).ceil() as usize;
+        let mut load: BTreeMap<String, Load> =
+            specs.keys().map(|n| (n.clone(), Load { tenths: vec![0; tenths], ..Load::default() })).collect();
+        let mut breaches = book.breaches;
+        breaches.extend(seen.panics);
+        let mut ran: HashMap<String, u32> = HashMap::new();
+        for (name, note) in &seen.notes {
+            match note {
+                Noted::Asked { ms, ask, full } => {
+                    let Some(bin) = ms.checked_sub(zero_ms).map(|ms| (ms / BIN) as usize) else { continue };
+                    let Some(load) = load.get_mut(name).filter(|_| bin < tenths) else { continue };
+                    if ask.by.is_empty() {
+                        load.tenths[bin] += 1;
+                    } else {
+                        load.fills += 1;
+                    }
+                    load.full += u64::from(*full);
+                }
+                Noted::Ran(id) => *ran.entry(id.clone()).or_default() += 1,
+                Noted::Fell { ms, cold } => {
+                    let at = (*ms as f64 - zero_ms as f64) / 1e3;
+                    let origin = specs.get(name).is_some_and(|s| s.role == Role::Origin);
+                    // An origin that stops is a trouble, not a rule; nor is a warm server that falls.
+                    if *cold && !origin {
+                        breaches.push(format!("{name} was pushed over while it was cold, at {at:.3} s"));
+                    }
+                }
+                Noted::Drained(id) => {
+                    breaches.push(format!("{name} got {id} over a second after it was told to drain"));
+                }
+                Noted::Listens(_) => {}
+            }
+        }
+        breaches.extend(ran.iter().filter(|r| *r.1 > 1).map(|r| format!("write {} ran {} times", r.0, r.1)));
+        let asked: Vec<_> = book.ended.iter().filter(|e| e.at >= 0.0).collect();
+        let mut ends = BTreeMap::new();
+        let (mut times, mut service) = (None, vec![(0, 0); plan.seconds.ceil() as usize]);
+        let mut histogram = Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("3 digits are allowed"));
+        for e in &asked {
+            let name = serde_json::to_value(e.end).ok().and_then(|v| v.as_str().map(str::to_owned));
+            *ends.entry(name.unwrap_or_default()).or_insert(0) += 1;
+            if e.end == End::Served {
+                let _ = histogram.record((e.took * 1e3) as u64);
+                times = Some(());
+            }
+            let there = !matches!(e.end, End::Unreached | End::Cut);
+            if let Some(second) = service.get_mut(e.at as usize).filter(|_| there) {
+                second.0 += 1;
+                second.1 += u64::from(e.in_time);
+            }
+        }
+        let (all, good) = service.iter().fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+        let quantile = |q| times.map_or(0.0, |()| histogram.value_at_quantile(q) as f64 / 1e3);
+        let role = |name: &str| specs.get(name).map(|s| s.role);
+        let caches: Vec<(&Load, f64)> = load
+            .iter()
+            .filter(|(name, _)| role(name) == Some(Role::Cache))
+            .map(|(name, load)| (load, specs[name].link))
+            .collect();
+        let spread = busiest(&caches);
+        let settled = (book.in_flight.len() as f64 - plan.seconds * 10.0).max(0.0) as usize;
+        let served = ends.get("served").copied().unwrap_or(0).max(1) as f64;
+        let fills = |which: Role| {
+            let of = load.iter().filter(|(name, _)| role(name) == Some(which));
+            of.map(|(_, load)| load.fills).sum::<u64>() as f64 / served
+        };
+        let mut sorted = spread.clone();
+        sorted.sort_by(f64::total_cmp);
+        let (peak, peak_server) = peaks(plan, &load, &role);
+        Played {
+            plan: plan.clone(),
+            ends,
+            in_time: good as f64 / all.max(1) as f64,
+            p50: quantile(0.5),
+            p99: quantile(0.99),
+            busiest: sorted.get(sorted.len() / 2).copied().unwrap_or(0.0),
+            busiest_worst: sorted.last().copied().unwrap_or(0.0),
+            idle_cache_s: idle(&caches),
+            dispersion: dispersion(&caches),
+            peak,
+            peak_server,
+            parent_fills: fills(Role::Parent),
+            origin_fills: fills(Role::Origin),
+            suspicions: seen.suspicions.iter().filter(|s| s.0 >= zero_ms).count(),
+            service,
+            in_flight: book.in_flight.get(settled..).unwrap_or_default().to_vec(),
+            load,
+            breaches,
+        }
+    }
+
+    /// The figures in a few lines.
+    pub fn summary(&self) -> String {
+        let Played { ends, in_time, p50, p99, busiest, busiest_worst, .. } = self;
+        let ends: Vec<String> = ends.iter().map(|(name, n)| format!("{name} {n}")).collect();
+        let mut text = format!(
+            "{}: {} directors, {} caches, seed {}\n  {}\n  in time {:.3}, p50 {p50:.1} ms, p99 {p99:.1} ms\n  \
+             busiest over mean {busiest:.2} (worst second {busiest_worst:.2}), idle {:.1} cache-seconds, \
+             dispersion {:.2}\n  peak after faults {:.2} of the mean, at one server {:.2}; suspicions {}\n  \
+             fills at parents {:.3} and at the origin {:.3} a request served\n",
+            self.plan.name,
+            self.plan.directors,
+            self.plan.caches,
+            self.plan.seed,
+            ends.join(", "),
+            in_time,
+            self.idle_cache_s,
+            self.dispersion,
+            self.peak,
+            self.peak_server,
+            self.suspicions,
+            self.parent_fills,
+            self.origin_fills,
+        );
+        for breach in self.breaches.iter().take(10) {
+            text += &format!("  BROKEN: {breach}\n");
+        }
+        if self.breaches.len() > 10 {
+            text += &format!("  and {} more\n", self.breaches.len() - 10);
+        }
+        text
+    }
+
+    /// One page with the figures, the plots and the plan.
+    pub fn page(&self) -> Result<String, Box<dyn std::error::Error + Send + Sync>> {
+        let tenths = |v: &[u32]| -> Vec<(f64, f64)> {
+            let seconds = v.chunks(10).enumerate();
+            seconds.map(|(n, c)| (n as f64, c.iter().sum::<u32>() as f64)).collect()
+        };
+        let of = |which: &str| -> Vec<(String, Vec<(f64, f64)>)> {
+            let named = self.load.iter().filter(|(n, _)| n.starts_with(which));
+            named.map(|(n, l)| (n.clone(), tenths(&l.tenths))).collect()
+        };
+        let caches: Vec<(&Load, f64)> =
+            self.load.iter().filter(|(n, _)| n.starts_with("cache")).map(|(_, l)| (l, 1.0)).collect();
+        let line = |name: &str, points: Vec<(f64, f64)>| vec![(name.to_owned(), points)];
+        let numbered = |v: Vec<f64>, step: f64| -> Vec<(f64, f64)> {
+            v.into_iter().enumerate().map(|(n, y)| (n as f64 * step, y)).collect()
+        };
+        let share = |s: &(u64, u64)| if s.0 > 0 { s.1 as f64 / s.0 as f64 } else { f64::NAN };
+        let in_flight = self.in_flight.iter().map(|n| *n as f64).collect();
+        let charts = [
+            ("requests a second by cache", of("cache")),
+            ("busiest cache over the mean, by second", line("busiest", numbered(busiest(&caches), 1.0))),
+            (
+                "share in time, by second",
+                line("in time", numbered(self.service.iter().map(share).collect(), 1.0)),
+            ),
+            ("requests under way", line("under way", numbered(in_flight, 0.1))),
+        ];
+        let mut page = format!(
+            "<!doctype html><meta charset=utf-8><title>{0}</title><style>body{{font:15px sans-serif;margin:2em}}\
+             </style><h1>{0}</h1><pre>{1}</pre>",
+            escape(&self.plan.name),
+            escape(&self.summary())
+        );
+        for (title, lines) in charts {
+            page += &self.chart(title, &lines)?;
+        }
+        let plan = serde_json::to_string_pretty(&self.plan)?;
+        page += &format!("<h2>The plan, to be played again</h2><pre>{}</pre>", escape(&plan));
+        Ok(page)
+    }
+
+    fn chart(
+        &self,
+        title: &str,
+        lines: &[(String, Vec<(f64, f64)>)],
+    ) -> Result<String, Box<dyn std::error::Error + Send + Sync>> {
+        let points = lines.iter().flat_map(|l| &l.1).filter(|p| p.1.is_finite());
+        let top = points.map(|p| p.1).fold(0.0, f64::max).max(1e-9) * 1.1;
+        let mut svg = String::new();
+        {
+            let area = SVGBackend::with_string(&mut svg, (900, 260)).into_drawing_area();
+            let mut chart = ChartBuilder::on(&area)
+                .caption(title, ("sans-serif", 16))
+                .margin(8)
+                .x_label_area_size(24)
+                .y_label_area_size(48)
+                .build_cartesian_2d(0.0..self.plan.seconds, 0.0..top)
+                .map_err(|e| e.to_string())?;
+            chart.configure_mesh().draw().map_err(|e| e.to_string())?;
+            for fault in &self.plan.faults {
+                let end = fault.at + fault.lasts.unwrap_or(0.05);
+                let shade = Rectangle::new([(fault.at, 0.0), (end, top)], RED.mix(0.12).filled());
+                chart.draw_series([shade]).map_err(|e| e.to_string())?;
+                let word = format!("{:?} {}", fault.what, fault.who);
+                let text = Text::new(word, (fault.at, top * 0.97), ("sans-serif", 11));
+                chart.draw_series([text]).map_err(|e| e.to_string())?;
+            }
+            for (n, (_, points)) in lines.iter().enumerate() {
+                let points = points.iter().copied().filter(|p| p.1.is_finite());
+                let colour = Palette99::pick(n).stroke_width(1);
+                chart.draw_series(LineSeries::new(points, colour)).map_err(|e| e.to_string())?;
+            }
+            area.present().map_err(|e| e.to_string())?;
+        }
+        Ok(svg)
+    }
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;")
+}
+
+/// By second: the busiest cache's requests over the mean cache's, each by its size.
+fn busiest(caches: &[(&Load, f64)]) -> Vec<f64> {
+    let seconds = caches.first().map_or(0, |c| c.0.tenths.len() / 10);
+    let size = caches.iter().map(|c| c.1).sum::<f64>() / caches.len().max(1) as f64;
+    let window =
+        |s: usize, c: &(&Load, f64)| c.0.tenths[s * 10..s * 10 + 10].iter().sum::<u32>() as f64 * size / c.1;
+    let over = |s: usize| {
+        let loads: Vec<f64> = caches.iter().map(|c| window(s, c)).collect();
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        if mean > 0.0 {
+            loads.iter().copied().fold(0.0, f64::max) / mean
+        } else {
+            0.0
+        }
+    };
+    (0..seconds).map(over).collect()
+}
+
+fn idle(caches: &[(&Load, f64)]) -> f64 {
+    let windows = caches.first().map_or(0, |c| c.0.tenths.len() / 20);
+    let mut seconds = 0.0;
+    for w in 0..windows {
+        let loads: Vec<u32> = caches.iter().map(|c| c.0.tenths[w * 20..w * 20 + 20].iter().sum()).collect();
+        let mean = loads.iter().sum::<u32>() as f64 / loads.len() as f64;
+        if mean >= 40.0 {
+            seconds += 2.0 * loads.iter().filter(|l| **l == 0).count() as f64;
+        }
+    }
+    seconds
+}
+
+/// Variance over mean of counts.
+pub fn over_poisson(counts: &[u32]) -> f64 {
+    let n = counts.len() as f64;
+    let mean = counts.iter().sum::<u32>() as f64 / n;
+    let variance = counts.iter().map(|c| (f64::from(*c) - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    variance / mean
+}
+
+fn dispersion(caches: &[(&Load, f64)]) -> f64 {
+    let busy = caches.iter().filter(|c| c.0.tenths.len() > 1 && c.0.tenths.iter().any(|t| *t > 0));
+    let all: Vec<f64> = busy.map(|c| over_poisson(&c.0.tenths)).collect();
+    all.iter().sum::<f64>() / all.len().max(1) as f64
+}
+
+/// The busiest tenth of a second within 5 s after a fault: over the whole fleet, and at one server.
+fn peaks(plan: &Plan, load: &BTreeMap<String, Load>, role: &dyn Fn(&str) -> Option<Role>) -> (f64, f64) {
+    let tenths = load.values().next().map_or(0, |l| l.tenths.len());
+    let after = |bin: usize| {
+        let at = bin as f64 * BIN as f64 / 1e3;
+        let faults = plan.faults.iter().filter(|f| !matches!(f.what, What::Burst | What::Hot));
+        let moments =
+            faults.flat_map(|f| [Some(f.at), f.lasts.map(|l| f.at + l)]).flatten().collect::<Vec<_>>();
+        moments.iter().any(|m| (*m..m + 5.0).contains(&at))
+    };
+    let bins: Vec<usize> = (0..tenths).filter(|b| after(*b)).collect();
+    let sums: Vec<u32> = (0..tenths).map(|b| load.values().map(|l| l.tenths[b]).sum()).collect();
+    let mean = sums.iter().sum::<u32>() as f64 / tenths.max(1) as f64;
+    let top = bins.iter().map(|b| sums[*b]).max().unwrap_or(0);
+    let mut single: f64 = 0.0;
+    for which in [Role::Cache, Role::Parent] {
+        let of: Vec<&Load> = load.iter().filter(|(n, _)| role(n) == Some(which)).map(|e| e.1).collect();
+        let all: u32 = of.iter().flat_map(|l| &l.tenths).sum();
+        let mean = f64::from(all) / (of.len() * tenths).max(1) as f64;
+        let top = of.iter().flat_map(|l| bins.iter().map(|b| l.tenths[*b])).max().unwrap_or(0);
+        // Fewer than ten in a tenth of a second are no herd, whatever the mean.
+        if top >= 10 && mean > 0.0 {
+            single = single.max(f64::from(top) / mean);
+        }
+    }
+    (if mean > 0.0 { f64::from(top) / mean } else { 0.0 }, single)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn load(tenths: &[u32]) -> Load {
+        Load { tenths: tenths.to_vec(), ..Load::default() }
+    }
+
+    #[test]
+    fn the_busiest_cache_is_held_against_its_size() {
+        let (a, b) = (load(&[30; 10]), load(&[10; 10]));
+        assert_eq!(busiest(&[(&a, 1.0), (&b, 1.0)]), [1.5]);
+        assert_eq!(busiest(&[(&a, 3.0), (&b, 1.0)]), [1.0]);
+    }
+
+    #[test]
+    fn an_idle_cache_is_seen_where_the_others_are_busy() {
+        let (a, b) = (load(&[9; 20]), load(&[0; 20]));
+        assert_eq!(idle(&[(&a, 1.0), (&b, 1.0)]), 2.0);
+        let few = load(&[1; 20]);
+        assert_eq!(idle(&[(&few, 1.0), (&b, 1.0)]), 0.0);
+    }
+
+    #[test]
+    fn counts_in_step_are_no_poisson() {
+        assert!(over_poisson(&[5; 50]) < 0.01);
+        let bursts: Vec<u32> = (0..50).map(|n| if n % 10 == 0 { 50 } else { 0 }).collect();
+        assert!(over_poisson(&bursts) > 10.0);
+    }
+}
