Find an object's hash order without scoring every server, and remember it with the object

Seen: two costs grow with the fleet. 'hashed' took a logarithm for each server; 'crowd' walked over all caches for the least stretch at each candidate.

Change: the order is kept with the object until the list changes; where it has to be found, one compared number (-ln u >= 1 - u) spares the logarithm of all but a few dozen; stretches stand in an ordered set. Counts that fade, the two generations of objects and the stretches move to src/estimate, which imports nothing.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,10 @@
 //! half higher. All else is guard or exception.
 
 use crate::api::*;
-use std::collections::{BTreeMap, HashMap};
+use crate::estimate::crowd::Crowds;
+use crate::estimate::fade::Fading;
+use crate::estimate::recent::Recent;
+use std::collections::BTreeMap;
 
 /// Belief: a parent that filled and kept a copy is thought to hold it this long (the design's value).
 const BELIEF: Micros = 30_000_000;
@@ -124,9 +127,25 @@
     (hash >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// Rendezvous score of a server for an object; a larger server wins in proportion to its size.
-fn score(object: ObjectId, server: ServerId, size: f64) -> f64 {
-    size / -unit(mix(object.0, u64::from(server.0))).max(1e-18).ln()
+/// The first few servers of a role in an object's hash order (rendezvous; a larger server wins in proportion
+/// to its size). As -ln u >= 1 - u, one compared number tells of nearly all that they can't be among these.
+fn first_few(object: ObjectId, role: &[(ServerId, f64)], largest: f64) -> [ServerId; FEW] {
+    let (mut best, mut least) = ([(0.0, ServerId(0)); FEW], 0);
+    for (id, size) in role {
+        let hash = mix(object.0, u64::from(id.0));
+        if hash < least {
+            continue;
+        }
+        let score = size / -unit(hash).max(1e-18).ln();
+        let place = best.partition_point(|b| b.0 >= score);
+        if place < FEW {
+            best[place..].rotate_right(1);
+            best[place] = (score, *id);
+            // A hundredth of a thousandth less, for the rounding of all this.
+            least = ((1.0 - 1.000_01 * largest / best[FEW - 1].0).max(0.0) * u64::MAX as f64) as u64;
+        }
+    }
+    best.map(|b| b.1)
 }
 
 /// What is known of one listed server.
@@ -152,9 +171,6 @@
     /// Our fills under way that it may be the source of, and the share of late and failed ones lately.
     window: f64,
     slow: f64,
-    /// What its hits took lately, and what they take at full pace.
-    took: f64,
-    pace: f64,
     /// Cold: sending time it may still be asked for, and when that was reckoned.
     cold_level: f64,
     cold_at: Micros,
@@ -166,66 +182,28 @@
     }
 }
 
-/// A count of requests that fades.
-#[derive(Clone, Copy, Default)]
-struct Count(f64, Micros);
-
-impl Count {
-    fn add(&mut self, now: Micros) -> f64 {
-        let kept = (-(now.saturating_sub(self.1) as f64) / FADE).exp();
-        *self = Count(self.0 * kept + 1.0, now);
-        self.0
-    }
-}
-
 /// What is known of one object.
-#[derive(Clone, Default)]
+#[derive(Default)]
 struct Object {
-    count: Count,
+    count: Fading,
     /// Requests for its first part asked for, or for any part of a single one.
     asked: u32,
     /// Parents believed to hold it, and since when.
     held: [(ServerId, Micros); 2],
+    /// Its first caches and parents in the hash, by the member list of this number.
+    orders: [[ServerId; FEW]; 2],
+    listed: u32,
 }
 
-/// Popularity and beliefs, in two generations so that memory stays bounded however many objects are met.
-#[derive(Default)]
-struct Objects {
-    young: HashMap<u64, Object>,
-    old: HashMap<u64, Object>,
-    turned: Micros,
-    all: Count,
-}
-
-impl Objects {
-    fn entry(&mut self, id: ObjectId, now: Micros) -> &mut Object {
-        if self.young.len() >= OBJECTS || now.saturating_sub(self.turned) > GENERATION {
-            self.old = std::mem::take(&mut self.young);
-            self.turned = now;
-        }
-        let Objects { young, old, .. } = self;
-        young.entry(id.0).or_insert_with(|| old.remove(&id.0).unwrap_or_default())
-    }
-
-    /// Counts a request: the object's share of our recent ones, and how often it was asked for.
-    fn ask(&mut self, request: &Request, now: Micros) -> (f64, u32) {
-        let all = self.all.add(now);
-        let object = self.entry(request.object, now);
-        let count = object.count.add(now);
-        object.asked += u32::from(request.part == 0 && !request.repeat && object.asked < u32::MAX);
-        (if count >= HOT_LEAST { count / all } else { 0.0 }, object.asked)
+impl Object {
+    fn believe(&mut self, parent: ServerId, now: Micros) {
+        let held = &mut self.held;
+        let first = held[0].0 == parent || (held[1].0 != parent && held[0].1 <= held[1].1);
+        held[usize::from(!first)] = (parent, now);
     }
 
-    fn believe(&mut self, id: ObjectId, parent: ServerId, now: Micros) {
-        let held = &mut self.entry(id, now).held;
-        let place =
-            if held[0].0 == parent || (held[1].0 != parent && held[0].1 <= held[1].1) { 0 } else { 1 };
-        held[place] = (parent, now);
-    }
-
-    fn believed(&mut self, id: ObjectId, parent: ServerId, since: Micros, now: Micros) -> bool {
-        let held = self.entry(id, now).held;
-        held.iter().any(|h| h.1 > since && h.0 == parent && now.saturating_sub(h.1) <= BELIEF)
+    fn believed(&self, parent: ServerId, since: Micros, now: Micros) -> bool {
+        self.held.iter().any(|h| h.1 > since && h.0 == parent && now.saturating_sub(h.1) <= BELIEF)
     }
 }
 
@@ -311,8 +289,16 @@
     /// The zone's running caches and all running parents, with their sizes, and the origin.
     caches: Vec<(ServerId, f64)>,
     parents: Vec<(ServerId, f64)>,
+    /// The largest cache and the largest parent.
+    largest: [f64; 2],
     origin: Option<ServerId>,
-    objects: Objects,
+    /// Counts the member lists taken, which hash orders are remembered by.
+    listed: u32,
+    objects: Recent<Object, OBJECTS, GENERATION>,
+    /// All requests lately.
+    all: Fading,
+    /// What the zone's caches' hits took.
+    crowds: Crowds,
     paces: Vec<Pace>,
     purges: Vec<Purge>,
     held: BTreeMap<RequestId, Held>,
@@ -403,7 +389,8 @@
                     if member.since > known.member.since {
                         // A new process: what the old one did says nothing of it.
                         (known.strikes, known.trial_at, known.failed_fills) = (0.0, None, 0);
-                        (known.cold_level, known.cold_at, known.pace) = (start, now, 0.0);
+                        (known.cold_level, known.cold_at) = (start, now);
+                        self.crowds.forget(member.server.0);
                     }
                     known.member = Member { size: known.member.size, ..member };
                 }
@@ -426,7 +413,9 @@
                 caches.push((*id, self.size(s)));
             }
         }
-        (self.caches, self.parents, self.origin) = (caches, parents, origin);
+        self.crowds.keep(|id| caches.binary_search_by_key(&id, |c| c.0 .0).is_ok());
+        self.largest = [&caches, &parents].map(|role| role.iter().map(|r| r.1).fold(0.0, f64::max));
+        (self.caches, self.parents, self.origin, self.listed) = (caches, parents, origin, self.listed + 1);
     }
 
     fn is_parent(&self, server: &Server) -> bool {
@@ -445,17 +434,15 @@
         }
     }
 
-    /// The first few running servers of a role in the object's hash order: no sort over the whole list.
-    fn hashed(&self, object: ObjectId, role: &[(ServerId, f64)]) -> Vec<ServerId> {
-        let scored = |(id, size): &(ServerId, f64)| (score(object, *id, *size), *id);
-        let order = |a: &(f64, ServerId), b: &(f64, ServerId)| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1));
-        let mut scored: Vec<(f64, ServerId)> = role.iter().map(scored).collect();
-        if scored.len() > FEW {
-            scored.select_nth_unstable_by(FEW, order);
-            scored.truncate(FEW);
+    /// The object's first caches and parents of those running, remembered with it until the list changes.
+    fn hashed(&mut self, object: ObjectId, now: Micros) -> [Vec<ServerId>; 2] {
+        let known = self.objects.entry(object.0, now);
+        let roles = [&self.caches, &self.parents];
+        if known.listed != self.listed {
+            known.listed = self.listed;
+            known.orders = [0, 1].map(|n| first_few(object, roles[n], self.largest[n]));
         }
-        scored.sort_by(order);
-        scored.into_iter().map(|s| s.1).collect()
+        [0, 1].map(|n| known.orders[n][..roles[n].len().min(FEW)].to_vec())
     }
 
     // ---- health ----
@@ -629,7 +616,11 @@
             return;
         };
         let (aim, stretch) = (class.aim, class.aim_stretch);
-        let (hot, asked) = self.objects.ask(&request, now);
+        let all = self.all.add(now, 1.0, FADE);
+        let object = self.objects.entry(request.object.0, now);
+        let count = object.count.add(now, 1.0, FADE);
+        object.asked += u32::from(request.part == 0 && !request.repeat && object.asked < u32::MAX);
+        let (hot, asked) = (if count >= HOT_LEAST { count / all } else { 0.0 }, object.asked);
         let pace = &mut self.paces[request.class];
         let told = request.size_kb / self.settings.flow * 1e6;
         let work = if told > 0.0 && told.is_finite() { pace.tell(told) } else { pace.work };
@@ -652,7 +643,7 @@
     /// already tried for this request are passed over.
     fn pick_cache(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
         let class_work = self.paces[held.request.class].work;
-        let mut usable = self.hashed(held.request.object, &self.caches);
+        let [mut usable, _] = self.hashed(held.request.object, now);
         let few = usable.len().min(SPREAD);
         let part = u64::from(held.request.part) + 1;
         usable[..few].sort_by_key(|id| mix(held.request.object.0 ^ u64::from(id.0), part));
@@ -682,9 +673,7 @@
     /// took lately. Guards against a cache that answers all and sends slowly, by a fault or by what others
     /// ask of it.
     fn crowd(&self, id: ServerId) -> f64 {
-        let stretch = |id: &ServerId| self.servers.get(id).filter(|s| s.pace > 0.0).map(|s| s.took / s.pace);
-        let (load, least) = (self.load(id), self.caches.iter().filter_map(|c| stretch(&c.0)));
-        let times = stretch(&id).zip(least.min_by(f64::total_cmp)).map(|(own, least)| own / least);
+        let (load, times) = (self.load(id), self.crowds.over_quickest(id.0));
         times.filter(|times| *times >= LIMPS).map_or(load, |times| times * load.max(1.0))
     }
 
@@ -695,10 +684,11 @@
         if self.settings.classes[held.request.class].write {
             return self.origin;
         }
-        let mut order = self.hashed(object, &self.parents);
+        let [_, mut order] = self.hashed(object, now);
         if let [first, second, ..] = order[..] {
             let since = self.servers[&second].member.since;
-            let open = held.hot >= HOT_SHARE || self.objects.believed(object, second, since, now);
+            let open =
+                held.hot >= HOT_SHARE || self.objects.entry(object.0, now).believed(second, since, now);
             let tally = |id: &ServerId| f64::from(self.servers[id].fills + self.servers[id].failed_fills);
             if open && tally(&first) > MARGIN * tally(&second) {
                 order.swap(0, 1);
@@ -714,7 +704,7 @@
 
     /// A parent without room may still be asked for what it holds: that asks nothing of the origin.
     fn pick_held(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
-        let first = *self.hashed(held.request.object, &self.parents).first()?;
+        let first = *self.hashed(held.request.object, now)[1].first()?;
         let class = &self.settings.classes[held.request.class];
         let fits = !class.write && held.attempts.is_empty() && self.servers[&first].busy_until <= now;
         (fits && self.healthy(first, now) && self.cold_take(first, held.work, now, false)).then_some(first)
@@ -920,16 +910,14 @@
                 self.praise(server, now, out);
                 if let Some(source) = source.filter(|_| filled) {
                     self.praise(source, now, out);
-                    self.objects.believe(object, source, now);
+                    self.objects.entry(object.0, now).believe(source, now);
                     self.fill_ended(Some(source), false, slow);
                 } else if let Some(s) = source.and_then(|s| self.servers.get_mut(&s)) {
                     s.cold_level += booked; // a hit: the source was not asked
                 }
                 self.paces[class].took(end.took as f64, work);
-                if let Some(s) = self.servers.get_mut(&server).filter(|_| end.note == Note::Hit) {
-                    let kept = if s.pace > 0.0 { 1.0 - HIT_BLEND } else { 0.0 };
-                    s.took = s.took * kept + end.took as f64;
-                    s.pace = s.pace * kept + work + HIT_EXTRA;
+                if end.note == Note::Hit && self.caches.binary_search_by_key(&server, |c| c.0).is_ok() {
+                    self.crowds.told(server.0, end.took as f64, work + HIT_EXTRA, HIT_BLEND);
                 }
             }
             Outcome::Full if end.note != Note::SourceLost => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | holds |
 //! | --- | --- |
 //! | [`api`], [`Router`] | the decisions and their interface |
+//! | [`estimate`] | what is reckoned from few events; pure, imports nothing |
 //! | [`core`] | the actor that owns them, which knows no wire |
 //! | [`signed`] | checks of signed URLs and tokens, without I/O |
 //! | [`transport`] | how servers are reached |
@@ -55,6 +56,7 @@
 pub mod daemon;
 mod decide;
 pub mod director;
+pub mod estimate;
 pub mod fronts;
 #[cfg(feature = "cli")]
 pub mod log;
