Spread load by a cache's fair share, as each director estimates it from few requests

Need: two hundred directors sent to one cache what one director splits over two: busiest cache over mean 7.0 with one object at a quarter of all requests, 2.6 without.

Cause: hot was a count of six within one director and 15% of its own requests, which a director with four requests a second never sees and which is far over a cache's fair share where 24 share the load; and a tie between two tallies, nearly always so there, went to the first.

Change: an object is hot where one part of it draws 0.4 of a cache's fair share, by a Gamma prior and our counts; its width is drawn, so that the fleet's mean is right; the lower tally of two drawn from its first three, on a tie the one that got less of us; a cache whose first places ask for over 1.2 of its fair share passes the excess to the next in each object's own order.

--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use foxhold_lab::fleet::Fleet;
-use foxhold_lab::harness::{self, Programs, SETTLE};
+use foxhold_lab::harness::{self, Programs};
 use foxhold_lab::overhead::{through_daemon, through_library};
 use foxhold_lab::plan::Plan;
 use foxhold_lab::replay::{compare, play, Failure, Played, Through};
@@ -186,11 +186,12 @@
 
 /// Plays a plan with a bar that shows how far it is.
 fn fleet(plan: &Plan, programs: &Programs) -> Result<foxhold_lab::report::Played, Failure> {
-    let bar = indicatif::ProgressBar::new((plan.seconds + SETTLE).ceil() as u64);
+    let bar = indicatif::ProgressBar::new((plan.seconds + plan.settle).ceil() as u64);
     bar.set_message("seconds of load");
     let moved = bar.clone();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let progress = move |at: f64| moved.set_position((at + SETTLE).max(0.0) as u64);
+    let settle = plan.settle;
+    let progress = move |at: f64| moved.set_position((at + settle).max(0.0) as u64);
     let played = tokio::task::LocalSet::new().block_on(&runtime, harness::play(plan, programs, progress));
     bar.finish_and_clear();
     played
--- a/crates/foxhold-lab/src/plan.rs
+++ b/crates/foxhold-lab/src/plan.rs
@@ -75,6 +75,9 @@
     /// How many times slower.
     #[serde(default)]
     pub times: f64,
+    /// The rule that a planted fault breaks.
+    #[serde(default)]
+    pub breach: Option<Breach>,
 }
 
 /// Kinds of faults.
@@ -97,6 +100,22 @@
     Slow,
     /// So many times the load.
     Burst,
+    /// A server breaks a rule by itself, to show that the check finds it.
+    Plant,
+}
+
+/// Rules that can be broken on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Breach {
+    /// The server gives copies older than a purge, and than it was asked for.
+    OldCopy,
+    /// It drains, and no director is told.
+    SecretDrain,
+    /// It runs every write twice.
+    Twice,
+    /// It says of each fill that it has the bytes of another object.
+    OtherBytes,
 }
 
 /// All of a play.
@@ -113,6 +132,8 @@
     pub parents: usize,
     /// Seconds of load.
     pub seconds: f64,
+    /// Seconds of load before these, in which caches fill and nothing is measured.
+    pub settle: f64,
     /// Requests a second over the fleet.
     pub rate: f64,
     /// Objects.
@@ -158,6 +179,7 @@
             caches: 24,
             parents: 3,
             seconds: 12.0,
+            settle: 4.0,
             rate: 800.0,
             objects: 5_000,
             zipf: 0.9,
@@ -213,6 +235,7 @@
         for (key, good) in [
             ("directors", self.directors > 0),
             ("caches", self.caches > 0),
+            ("settle", (0.0..=60.0).contains(&self.settle)),
             ("parents", self.parents > 1),
             ("objects", self.objects > 0),
             ("zipf", self.zipf > 0.0 && self.zipf.is_finite()),
@@ -232,11 +255,16 @@
             if !(0.0..=self.seconds).contains(&fault.at) {
                 return error(&place, format!("at {} is outside of the play", fault.at));
             }
-            let named =
-                matches!(fault.what, What::Kill | What::Stall | What::Drain | What::Slow | What::Link);
+            let named = matches!(
+                fault.what,
+                What::Kill | What::Stall | What::Drain | What::Slow | What::Link | What::Plant
+            );
             if named && self.whom(&fault.who).is_none_or(|w| w.is_empty()) {
                 return error(&place, format!("who: nobody here is called '{}'", fault.who));
             }
+            if fault.what == What::Plant && fault.breach.is_none() {
+                return error(&place, "breach: the rule to break is missing".into());
+            }
             if fault.what == What::Link && fault.to != "board" && self.whom(&fault.to).is_none() {
                 return error(&place, format!("to: nobody here is called '{}'", fault.to));
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,14 +1,17 @@
 //! All decisions of the router. The interface (settings, events, actions, ids) is in `src/api.rs`.
 //!
-//! Ordinary path: an object has its first three caches of the zone in a rendezvous hash; the part picks which
-//! of them comes first (once the object is hot, the less busy of that one and the next). A miss is filled
-//! from the first of the object's two parents in a hash over all listed parents; for an object that is hot,
-//! or believed held by the second, the second wins when the first's tally of our fills under way is over
-//! half higher. All else is guard or exception.
+//! Ordinary path: an object has its first three caches of the zone in a rendezvous hash; the part picks
+//! which of them comes first (once the object is hot, the less busy of two of them). A miss is filled from
+//! the first of the object's two parents in a hash over all listed parents; for an object that is hot, or
+//! believed held by the second, the second wins when the first's tally of our fills under way is over half
+//! higher. All else is guard or exception.
 
 use crate::api::*;
 use crate::estimate::crowd::Crowds;
 use crate::estimate::fade::Fading;
+use crate::estimate::gamma::{excess, whole, Prior};
+use crate::estimate::hash::{mix, unit};
+use crate::estimate::pace::Pace;
 use crate::estimate::recent::Recent;
 use std::collections::BTreeMap;
 
@@ -16,17 +19,21 @@
 const BELIEF: Micros = 30_000_000;
 /// Pair margin: the second parent wins when the first's tally is over this multiple of its own (design).
 const MARGIN: f64 = 1.5;
-/// Popularity fades with this time constant; long enough to count a viewer's parts, short against drift.
-const FADE: f64 = 10_000_000.0;
-/// Hot: an object draws this share of our recent requests; one cache should not bear it alone.
-const HOT_SHARE: f64 = 0.15;
+/// Popularity fades with this time constant; long enough that a gateway that sees four requests a second
+/// counts some dozens, short against drift.
+const FADE: f64 = 20_000_000.0;
+/// Hot: an object draws this part of a server's fair share of requests; one should not bear it alone.
+const HOT_PART: f64 = 0.4;
 /// An object's parts are spread over so many caches.
 const SPREAD: usize = 3;
-/// Least faded count of a hot object, so that an idle gateway finds nothing hot.
-const HOT_LEAST: f64 = 6.0;
-/// Most objects remembered in each of two generations; bounds memory.
+/// An object's share of all requests before any is seen.
+const USUAL: Prior = Prior { mean: 0.01, shape: 0.3 };
+/// What objects that come first at a cache ask of it over its fair share, before any is seen; beyond the
+/// bound some go on to the next.
+const FAIR: Prior = Prior { mean: 1.0, shape: 2.0 };
+const BOUND: f64 = 1.2;
+/// Most objects remembered in each of two generations, and how long one lasts unless it fills up.
 const OBJECTS: usize = 20_000;
-/// A generation of objects lasts at least this long unless it fills up.
 const GENERATION: Micros = 30_000_000;
 /// Servers of a role looked at for a request: an object's own two or three and the next in the hash.
 const FEW: usize = 6;
@@ -113,20 +120,6 @@
 const TIMER_LATE: Token = 2 << 64;
 const TIMER_RELIST: Token = 3 << 64;
 
-/// A well-mixed hash of two numbers (splitmix64's finisher); the same at every gateway.
-fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    for k in [0xbf58_476d_1ce4_e5b9_u64, 0x94d0_49bb_1331_11eb] {
-        x = (x ^ (x >> 29)).wrapping_mul(k);
-    }
-    x ^ (x >> 32)
-}
-
-/// A hash as a number from 0 to 1.
-fn unit(hash: u64) -> f64 {
-    (hash >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// The first few servers of a role in an object's hash order (rendezvous; a larger server wins in proportion
 /// to its size). As -ln u >= 1 - u, one compared number tells of nearly all that they can't be among these.
 fn first_few(object: ObjectId, role: &[(ServerId, f64)], largest: f64) -> [ServerId; FEW] {
@@ -152,8 +145,9 @@
 #[derive(Default)]
 struct Server {
     member: Member,
-    /// Our attempts out there.
+    /// Our attempts out there, and requests whose objects come first here.
     out: u32,
+    first: Fading,
     /// Our fills under way that name it as source.
     fills: u32,
     /// Fills that failed and were not followed by one that succeeded.
@@ -186,8 +180,9 @@
 #[derive(Default)]
 struct Object {
     count: Fading,
-    /// Requests for its first part asked for, or for any part of a single one.
+    /// Requests for its first part asked for, or for any part of a single one, and the most parts met.
     asked: u32,
+    parts: u32,
     /// Parents believed to hold it, and since when.
     held: [(ServerId, Micros); 2],
     /// Its first caches and parents in the hash, by the member list of this number.
@@ -207,32 +202,6 @@
     }
 }
 
-/// Times seen in one class of requests.
-struct Pace {
-    /// Mean sending time, and whether any was told.
-    work: f64,
-    told: bool,
-    /// Mean time beyond the own sending time.
-    extra: f64,
-}
-
-impl Pace {
-    /// What an answer took. Where sizes are not told, the median time stands for the mean sending time: most
-    /// answers are hits, and long fills, which would swell a mean, leave the median alone.
-    fn took(&mut self, took: f64, work: f64) {
-        self.extra += BLEND * ((took - work).max(0.0) - self.extra);
-        if !self.told {
-            self.work *= if took > self.work { 1.0 + BLEND } else { 1.0 - BLEND };
-        }
-    }
-
-    fn tell(&mut self, work: f64) -> f64 {
-        self.work += if self.told { BLEND * (work - self.work) } else { work - self.work };
-        self.told = true;
-        work
-    }
-}
-
 /// A purge that servers may not have heeded yet.
 struct Purge {
     object: Option<ObjectId>,
@@ -269,7 +238,9 @@
     attempts: Vec<Attempt>,
     work: f64,
     aim: Micros,
-    hot: f64,
+    /// Requests for the object and for all before this one, and how many parts share them.
+    seen: (f64, f64),
+    parts: f64,
     asked: u32,
     /// Most attempts, by the settings of its start.
     most: u32,
@@ -289,7 +260,8 @@
     /// The zone's running caches and all running parents, with their sizes, and the origin.
     caches: Vec<(ServerId, f64)>,
     parents: Vec<(ServerId, f64)>,
-    /// The largest cache and the largest parent.
+    /// The size of all caches and of all parents, and of the largest of each.
+    weights: [f64; 2],
     largest: [f64; 2],
     origin: Option<ServerId>,
     /// Counts the member lists taken, which hash orders are remembered by.
@@ -414,6 +386,7 @@
             }
         }
         self.crowds.keep(|id| caches.binary_search_by_key(&id, |c| c.0 .0).is_ok());
+        self.weights = [&caches, &parents].map(|role| role.iter().map(|r| r.1).sum());
         self.largest = [&caches, &parents].map(|role| role.iter().map(|r| r.1).fold(0.0, f64::max));
         (self.caches, self.parents, self.origin, self.listed) = (caches, parents, origin, self.listed + 1);
     }
@@ -616,19 +589,20 @@
             return;
         };
         let (aim, stretch) = (class.aim, class.aim_stretch);
-        let all = self.all.add(now, 1.0, FADE);
         let object = self.objects.entry(request.object.0, now);
-        let count = object.count.add(now, 1.0, FADE);
+        // Without this one: it comes because it is asked for, and says nothing of how often others are.
+        let seen = (object.count.value(now, FADE), self.all.value(now, FADE));
+        let _counted = (object.count.add(now, 1.0, FADE), self.all.add(now, 1.0, FADE));
+        object.parts = object.parts.max(request.part.saturating_add(1));
         object.asked += u32::from(request.part == 0 && !request.repeat && object.asked < u32::MAX);
-        let (hot, asked) = (if count >= HOT_LEAST { count / all } else { 0.0 }, object.asked);
+        let (asked, parts) = (object.asked, f64::from(object.parts));
         let pace = &mut self.paces[request.class];
         let told = request.size_kb / self.settings.flow * 1e6;
-        let work = if told > 0.0 && told.is_finite() { pace.tell(told) } else { pace.work };
+        let work = if told > 0.0 && told.is_finite() { pace.tell(told, BLEND) } else { pace.work };
         let aim = now.saturating_add(aim).saturating_add((stretch * work) as Micros).min(request.deadline);
         self.extra = (self.extra + EXTRA_EARN + self.lost).min(EXTRA_SAVED);
-        let (id, deadline) = (request.id, request.deadline);
-        let most = self.settings.max_attempts;
-        let held = Held { request, work, aim, hot, asked, most, ..Held::default() };
+        let (id, deadline, most) = (request.id, request.deadline, self.settings.max_attempts);
+        let held = Held { request, work, aim, seen, parts, asked, most, ..Held::default() };
         self.held.insert(id, held);
         if deadline.saturating_sub(now) <= TOO_LATE || !self.send(now, id, out) {
             self.give_up(id, out);
@@ -637,16 +611,16 @@
         }
     }
 
-    /// Picks the cache: the part's first among the object's three; once hot the less busy of it and the next.
-    /// Which objects are hot gateways see differently; were the three used for hot ones only, each
-    /// disagreement would be a second copy. Caches that are suspected, busy, cold beyond their budget or
-    /// already tried for this request are passed over.
+    /// Picks the cache: the part's first among the object's three. A hot object's is the less busy of two
+    /// drawn from as many of them as its share asks for, so that the fleet spreads it right though no
+    /// gateway can be sure. Caches that are suspected, busy, cold beyond their budget or tried already are
+    /// passed over.
     fn pick_cache(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
-        let class_work = self.paces[held.request.class].work;
-        let [mut usable, _] = self.hashed(held.request.object, now);
+        let (object, class_work) = (held.request.object, self.paces[held.request.class].work);
+        let [mut usable, _] = self.hashed(object, now);
         let few = usable.len().min(SPREAD);
         let part = u64::from(held.request.part) + 1;
-        usable[..few].sort_by_key(|id| mix(held.request.object.0 ^ u64::from(id.0), part));
+        usable[..few].sort_by_key(|id| mix(object.0 ^ u64::from(id.0), part));
         usable.retain(|id| {
             let new = self.servers[id].busy_until <= now
                 && held.attempts.iter().all(|a| a.server != *id || !(a.out && !a.lost || a.server_bad));
@@ -654,14 +628,44 @@
                 && self.may_send(held, *id, now)
                 && self.cold_take(*id, class_work, now, false)
         });
-        if held.hot >= HOT_SHARE && usable.len() > 1 && self.load(usable[1]) < self.load(usable[0]) {
-            usable.swap(0, 1);
+        let first = *usable.first()?;
+        let wants = self.wants(held, first, self.weights[0]);
+        let draws = if wants > 1.0 { self.draw() } else { 0 };
+        let width = whole(wants, usable.len().min(SPREAD), unit(draws));
+        if width > 1 {
+            let one = (draws >> 8) as usize % width;
+            let two = (one + 1 + (draws >> 16) as usize % (width - 1)) % width;
+            // Where we have nothing out, as among many gateways, the one that got less of us lately.
+            let tally = |id: ServerId| (self.load(id), self.asks(id, now, 0.0));
+            let less = tally(usable[two]) < tally(usable[one]);
+            usable[..=if less { two } else { one }].rotate_right(1);
+        }
+        if held.attempts.is_empty() {
+            // The same objects at every gateway, each to the next in its own order.
+            let over = excess(self.asks(first, now, held.seen.0), BOUND);
+            let over = width == 1 && unit(mix(object.0, !u64::from(first.0))) < over;
+            self.servers.entry(usable[0]).and_modify(|s| _ = s.first.add(now, 1.0, FADE));
+            let next = (1..usable.len()).find(|n| over && self.asks(usable[*n], now, 0.0) <= BOUND);
+            usable[..=next.unwrap_or(0)].rotate_right(1);
         }
         // Guards against refusing while one cache has more than its part and others have room.
         let in_time = |id: &ServerId| !held.attempts.is_empty() || !self.too_slow(now, held, *id);
         usable.iter().copied().find(in_time).or(usable.first().copied())
     }
 
+    /// How many servers of a role one part of an object asks for: one for each `HOT_PART` of a fair share.
+    fn wants(&self, held: &Held, id: ServerId, weight: f64) -> f64 {
+        let part = HOT_PART * self.size(&self.servers[&id]) / weight;
+        USUAL.below(part / 2.0).after(held.seen.0, held.seen.1).mean / held.parts / part
+    }
+
+    /// What objects that come first at a cache ask over its fair share, as estimated, but for one's own.
+    fn asks(&self, id: ServerId, now: Micros, own: f64) -> f64 {
+        let Some(s) = self.servers.get(&id) else { return 0.0 };
+        let fair = self.all.value(now, FADE) * self.size(s) / self.weights[0];
+        FAIR.after((s.first.value(now, FADE) - own).max(0.0), fair).mean
+    }
+
     /// Our transfers under way at a cache over its link, as if the zone's other gateways sent as much.
     fn load(&self, id: ServerId) -> f64 {
         let Some(s) = self.servers.get(&id) else { return 0.0 };
@@ -687,8 +691,8 @@
         let [_, mut order] = self.hashed(object, now);
         if let [first, second, ..] = order[..] {
             let since = self.servers[&second].member.since;
-            let open =
-                held.hot >= HOT_SHARE || self.objects.entry(object.0, now).believed(second, since, now);
+            let open = self.wants(held, first, self.weights[1]) >= 1.0
+                || self.objects.entry(object.0, now).believed(second, since, now);
             let tally = |id: &ServerId| f64::from(self.servers[id].fills + self.servers[id].failed_fills);
             if open && tally(&first) > MARGIN * tally(&second) {
                 order.swap(0, 1);
@@ -915,7 +919,7 @@
                 } else if let Some(s) = source.and_then(|s| self.servers.get_mut(&s)) {
                     s.cold_level += booked; // a hit: the source was not asked
                 }
-                self.paces[class].took(end.took as f64, work);
+                self.paces[class].took(end.took as f64, work, BLEND);
                 if end.note == Note::Hit && self.caches.binary_search_by_key(&server, |c| c.0).is_ok() {
                     self.crowds.told(server.0, end.took as f64, work + HIT_EXTRA, HIT_BLEND);
                 }
--- a/src/estimate/gamma.rs
+++ b/src/estimate/gamma.rs
@@ -23,6 +23,11 @@
 }
 
 impl Prior {
+    /// The same with a mean of at most so much, above 0.
+    pub fn below(&self, most: f64) -> Prior {
+        Prior { mean: self.mean.min(most), ..*self }
+    }
+
     /// After so many events over an exposure, both at least 0.
     pub fn after(&self, events: f64, exposure: f64) -> Rate {
         let (shape, per) = (self.shape + events, self.shape / self.mean + exposure);
--- a/src/estimate/mod.rs
+++ b/src/estimate/mod.rs
@@ -7,6 +7,8 @@
 //! | --- | --- |
 //! | [`fade`] | counts that fade |
 //! | [`gamma`] | rates and shares from few events, with their error |
+//! | [`hash`] | a hash that is the same at every director |
+//! | [`pace`] | what requests of a class take |
 //! | [`recent`] | a map that forgets what was not met lately, bounded in entries |
 //! | [`crowd`] | how crowded servers are, by what their answers took |
 //!
@@ -16,4 +18,6 @@
 pub mod crowd;
 pub mod fade;
 pub mod gamma;
+pub mod hash;
+pub mod pace;
 pub mod recent;
--- /dev/null
+++ b/tests/estimate.rs
@@ -0,0 +1,157 @@
+//! The estimates, against what they say of themselves.
+
+use foxhold::estimate::crowd::Crowds;
+use foxhold::estimate::fade::Fading;
+use foxhold::estimate::gamma::{excess, whole, Prior};
+use foxhold::estimate::recent::Recent;
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+fn check<A: quickcheck::Testable>(property: A) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 20)).tests(2_000).quickcheck(property);
+}
+
+fn uniform(seed: u64) -> impl FnMut() -> f64 {
+    let mut x = seed | 1;
+    move || {
+        x = x.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (x >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+#[test]
+fn a_count_fades_and_its_error_is_as_stated() {
+    let (mut draw, span) = (uniform(3), 20e6);
+    // Forty events a span: the count stands at 40, off by 1 / sqrt(80) of it.
+    let (mut now, mut sum, mut squares, mut n) = (0.0, 0.0, 0.0, 0.0);
+    let mut count = Fading::default();
+    for event in 0..400_000 {
+        now += -draw().max(1e-12).ln() * span / 40.0;
+        let before = count.value(now as u64, span);
+        count.add(now as u64, 1.0, span);
+        if event > 1_000 {
+            (sum, squares, n) = (sum + before, squares + before * before, n + 1.0);
+        }
+    }
+    let mean = sum / n;
+    let deviation = (squares / n - mean * mean).sqrt();
+    assert!((mean / 40.0 - 1.0).abs() < 0.02, "{mean}");
+    assert!((deviation / mean * 80f64.sqrt() - 1.0).abs() < 0.05, "{deviation}");
+}
+
+#[test]
+fn a_count_never_grows_by_itself_nor_by_a_clock_that_steps_back() {
+    fn property(at: u32, add: u16, later: u32) -> bool {
+        let mut count = Fading::default();
+        let value = count.add(u64::from(at), f64::from(add), 1e6);
+        count.value(u64::from(at) + u64::from(later), 1e6) <= value
+            && count.value(u64::from(at.saturating_sub(later)), 1e6) <= value
+            && count.add(u64::from(at.saturating_sub(later)), 0.0, 1e6) <= value
+    }
+    check(property as fn(u32, u16, u32) -> bool);
+}
+
+#[test]
+fn a_rate_lies_between_the_prior_and_what_was_seen_and_grows_sure() {
+    fn property(events: u16, exposure: u16, shape: u8) -> TestResult {
+        if exposure == 0 || shape == 0 {
+            return TestResult::discard();
+        }
+        let prior = Prior { mean: 0.3, shape: f64::from(shape) / 16.0 };
+        let (events, exposure) = (f64::from(events), f64::from(exposure));
+        let rate = prior.after(events, exposure);
+        let seen = events / exposure;
+        let between = rate.mean >= seen.min(0.3) - 1e-9 && rate.mean <= seen.max(0.3) + 1e-9;
+        let more = prior.after(events * 10.0, exposure * 10.0);
+        let surer = more.deviation / more.mean <= rate.deviation / rate.mean + 1e-12;
+        TestResult::from_bool(between && surer && (prior.after(0.0, 0.0).mean - 0.3).abs() < 1e-9)
+    }
+    check(property as fn(u16, u16, u8) -> TestResult);
+}
+
+/// The stated error holds: over rates drawn from the prior, the estimate is off by its deviation on average.
+#[test]
+fn the_stated_error_of_a_rate_is_its_error() {
+    let (mut draw, prior) = (uniform(11), Prior { mean: 2.0, shape: 1.0 });
+    let (mut squares, mut stated) = (0.0, 0.0);
+    for _ in 0..40_000 {
+        // Shape 1 is exponential; a Poisson count by its gaps.
+        let rate = -draw().max(1e-12).ln() * prior.mean;
+        let (mut events, mut at) = (0.0, 0.0);
+        loop {
+            at += -draw().max(1e-12).ln();
+            if at > rate * 3.0 {
+                break;
+            }
+            events += 1.0;
+        }
+        let held = prior.after(events, 3.0);
+        squares += (held.mean - rate).powi(2);
+        stated += held.deviation.powi(2);
+    }
+    assert!((squares / stated - 1.0).abs() < 0.05, "{}", squares / stated);
+}
+
+#[test]
+fn whole_numbers_drawn_have_the_mean_that_is_wanted() {
+    let mut draw = uniform(5);
+    for want in [0.2, 1.0, 1.3, 2.0, 2.75, 3.0, 9.0] {
+        let mean = (0..40_000).map(|_| whole(want, 3, draw()) as f64).sum::<f64>() / 40_000.0;
+        assert!((mean - f64::clamp(want, 1.0, 3.0)).abs() < 0.02, "{want}: {mean}");
+    }
+    assert_eq!(whole(f64::MAX, 3, 0.5), 3);
+}
+
+#[test]
+fn what_is_left_after_the_excess_is_the_bound() {
+    fn property(load: u16) -> bool {
+        let load = f64::from(load) / 100.0;
+        let left = load * (1.0 - excess(load, 1.2));
+        (0.0..1.0).contains(&excess(load, 1.2)) && (left - load.min(1.2)).abs() < 1e-9
+    }
+    check(property as fn(u16) -> bool);
+}
+
+#[test]
+fn a_recent_map_is_bounded_and_keeps_what_is_met_again() {
+    let mut map: Recent<u32, 100, 1_000> = Recent::default();
+    assert!(map.is_empty());
+    *map.entry(1, 0) = 7;
+    for key in 2..10_000 {
+        map.entry(key, 0);
+        assert!(map.len() <= 200);
+        assert_eq!(*map.entry(1, 0), 7, "met at every step");
+    }
+    for key in 10_000..10_300 {
+        map.entry(key, 0);
+    }
+    assert_eq!(*map.entry(1, 0), 0, "forgotten after 300 others");
+    *map.entry(5, 10) = 9;
+    assert_eq!(*map.entry(5, 1_500), 9, "one generation later");
+    map.entry(6, 3_000);
+    map.entry(6, 5_000);
+    assert_eq!(*map.entry(5, 5_000), 0, "two of them later");
+}
+
+/// The least stretch stands at hand; it is the same as one found by a walk over all.
+#[test]
+fn the_quickest_of_many_is_found_as_by_a_walk() {
+    let (mut draw, mut crowds, mut plain) = (uniform(9), Crowds::default(), std::collections::HashMap::new());
+    for step in 0..20_000 {
+        let server = (draw() * 40.0) as u32;
+        if step % 97 == 0 {
+            crowds.forget(server);
+            plain.remove(&server);
+        } else {
+            let (took, usual) = (1.0 + draw() * 100.0, 10.0 + draw());
+            crowds.told(server, took, usual, 0.1);
+            let (t, u): &mut (f64, f64) = plain.entry(server).or_insert((0.0, 0.0));
+            let kept = if *u > 0.0 { 0.9 } else { 0.0 };
+            (*t, *u) = (*t * kept + took, *u * kept + usual);
+        }
+        let least = plain.values().map(|(t, u)| t / u).min_by(f64::total_cmp);
+        let over = |s: u32| Some(plain.get(&s)?.0 / plain[&s].1 / least?);
+        assert_eq!(crowds.over_quickest(server), over(server));
+    }
+    crowds.keep(|server| server < 3);
+    assert!(crowds.over_quickest(5).is_none());
+}
