Find hot objects sooner in large zones, and bring directors let go by the board back apart

Need: at 200 directors the hot object took three or four of its requests at each to be found, and all directors that a board let go came back within 1.2 ms of each other.

Seen: an object's prior weighed 30 requests in every zone, where a director of 200 sees 40 in ten seconds; the board's follower waited 100 ms, 200 ms and so on, the same everywhere.

Change: the prior weighs as the zone's fair share is large: 4 requests before 24 caches, 29 before three. Waits for the board are drawn between half of them and the whole.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,7 +11,8 @@
 pub use actor::{start, Running};
 pub use clock::Clock;
 
-use crate::api::{MemberState, Micros, Note, ServerId, Settings};
+use crate::api::{Micros, Note, ServerId, Settings};
+pub use crate::membership::Listing;
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -237,27 +238,6 @@
     Probe(u64),
 }
 
-/// What is told of a member of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listing {
-    /// Its name, the same at every director.
-    pub name: Arc<str>,
-    /// Where it listens.
-    pub address: Arc<str>,
-    /// Its zone's name.
-    pub zone: String,
-    /// Its kind's name.
-    pub kind: String,
-    /// Its cell.
-    pub cell: u32,
-    /// Its state.
-    pub state: MemberState,
-    /// Its size; 0: not told.
-    pub size: f64,
-    /// Unix time of a late start in microseconds, or 0.
-    pub since: Micros,
-}
-
 /// News for the actor.
 #[derive(Debug)]
 pub enum Message {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,17 +19,16 @@
 const BELIEF: Micros = 30_000_000;
 /// Pair margin: the second parent wins when the first's tally is over this multiple of its own (design).
 const MARGIN: f64 = 1.5;
-/// Popularity fades with this time constant; long enough that a gateway that sees four requests a second
-/// counts some dozens, short against drift.
+/// Popularity fades with this time constant; four requests a second count eighty.
 const FADE: f64 = 20_000_000.0;
 /// Hot: an object draws this part of a server's fair share of requests; one should not bear it alone.
 const HOT_PART: f64 = 0.4;
 /// An object's parts are spread over so many caches.
 const SPREAD: usize = 3;
-/// An object's share of all requests before any is seen.
-const USUAL: Prior = Prior { mean: 0.01, shape: 0.3 };
-/// What objects that come first at a cache ask of it over its fair share, before any is seen; beyond the
-/// bound some go on to the next.
+/// An object's share of all requests before any is seen, and how sure that is for each part that is hot.
+const USUAL: f64 = 0.01;
+const SURE: f64 = 2.2;
+/// What first places ask of a cache over its fair share, before any is seen; past the bound some go on.
 const FAIR: Prior = Prior { mean: 1.0, shape: 2.0 };
 const BOUND: f64 = 1.2;
 /// Most objects remembered in each of two generations, and how long one lasts unless it fills up.
@@ -656,7 +655,8 @@
     /// How many servers of a role one part of an object asks for: one for each `HOT_PART` of a fair share.
     fn wants(&self, held: &Held, id: ServerId, weight: f64) -> f64 {
         let part = HOT_PART * self.size(&self.servers[&id]) / weight;
-        USUAL.below(part / 2.0).after(held.seen.0, held.seen.1).mean / held.parts / part
+        let usual = Prior::new(USUAL.min(part / 2.0), SURE * part);
+        usual.after(held.seen.0, held.seen.1).mean / held.parts / part
     }
 
     /// What objects that come first at a cache ask over its fair share, as estimated, but for one's own.
--- a/src/estimate/gamma.rs
+++ b/src/estimate/gamma.rs
@@ -23,9 +23,9 @@
 }
 
 impl Prior {
-    /// The same with a mean of at most so much, above 0.
-    pub fn below(&self, most: f64) -> Prior {
-        Prior { mean: self.mean.min(most), ..*self }
+    /// By mean and shape.
+    pub fn new(mean: f64, shape: f64) -> Prior {
+        Prior { mean, shape }
     }
 
     /// After so many events over an exposure, both at least 0.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,10 +5,30 @@
 //! full list that comes a moment later, does not put the server back into service.
 
 use crate::api::{MemberState, Micros};
-use crate::core::Listing;
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// What is told of a member of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its name, the same at every director.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its zone's name.
+    pub zone: String,
+    /// Its kind's name.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub state: MemberState,
+    /// Its size; 0: not told.
+    pub size: f64,
+    /// Unix time of a late start in microseconds, or 0.
+    pub since: Micros,
+}
+
 /// Drains that were told beside the sources, at most; the list itself bounds it, for a name that no source
 /// lists is not kept.
 #[derive(Debug, Default)]
--- a/src/sources/board.rs
+++ b/src/sources/board.rs
@@ -2,9 +2,11 @@
 
 use crate::api::MemberState;
 use crate::core::{Listing, Message, Reports};
+use crate::estimate::hash::unit;
 use crate::settings::micros;
 use bytes::BytesMut;
 use miniserde::{json, Deserialize};
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -171,6 +173,13 @@
     }
 }
 
+/// Between half of a wait and the whole: a board that lets hundreds go at once is not rushed by all of them
+/// at once, and nobody waits longer than without.
+fn apart(wait: Duration) -> Duration {
+    let drawn = RandomState::new().build_hasher().finish();
+    wait.mul_f64(0.5 + 0.5 * unit(drawn))
+}
+
 /// Follows the board for as long as the program runs, from the event after `last` on. A new address is turned
 /// to at once, with the number of the last event: the old one tells nothing more.
 pub async fn follow(
@@ -202,7 +211,7 @@
         tracing::info!("board: {error}; connecting anew after event {last}");
         wait = if last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
         tokio::select! {
-            () = sleep(wait) => {}
+            () = sleep(apart(wait)) => {}
             Ok(()) = address.changed() => address.mark_changed(),
         }
     }
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -123,3 +123,37 @@
         assert_eq!(board.purge().await, "6");
     });
 }
+
+/// Before: all came back 50 ms later within a few hundred microseconds of each other.
+#[test]
+fn many_that_a_board_lets_go_at_once_come_back_apart_and_none_later_than_before() {
+    local(async {
+        let (listener, at) = listener().await;
+        let mut told = Vec::new();
+        for _ in 0..60 {
+            let (reports, news) = mpsc::channel(16);
+            let (address, follows) = watch::channel(at.clone());
+            tokio::task::spawn_local(board::follow(follows, 3, false, Reports::new(reports)));
+            told.push((address, news));
+        }
+        let mut first = Vec::new();
+        for _ in 0..60 {
+            first.push(listener.accept().await.expect("a connection"));
+        }
+        let let_go = std::time::Instant::now();
+        drop(first);
+        let mut back = Vec::new();
+        for _ in 0..60 {
+            let _held = listener.accept().await.expect("a connection");
+            back.push(let_go.elapsed().as_secs_f64() * 1e3);
+            std::mem::forget(_held);
+        }
+        // The wait after a first break is 100 ms at most: it doubles before it is taken.
+        let (soonest, latest) = (back[0], back[59]);
+        assert!(latest - soonest > 25.0, "{soonest} to {latest}");
+        let fullest =
+            back.iter().map(|at| back.iter().filter(|b| (*at..at + 5.0).contains(*b)).count()).max();
+        assert!(fullest < Some(30), "{fullest:?} of 60 within 5 ms");
+        assert!(latest < 200.0, "{latest}");
+    });
+}
