End a play's processes whenever a signal comes, from its first process on

Seen: three directors outlived a harness that was told to end while it was still starting them; the signal was waited for only once the load ran, so the default took the harness away with nothing dropped.

Change: the wait for SIGINT and SIGTERM stands round the whole play; what it drops ends all processes by their ids.

--- a/crates/foxhold-lab/src/harness.rs
+++ b/crates/foxhold-lab/src/harness.rs
@@ -123,6 +123,19 @@
     plan: &Plan,
     programs: &Programs,
     progress: impl Fn(f64) + 'static,
+) -> Result<Played, Failure> {
+    // From the first process on: what is dropped here takes all of them with it.
+    tokio::select! {
+        biased;
+        signal = interrupted() => Err(format!("{}; all processes of the play are ended", signal?).into()),
+        played = whole(plan, programs, progress) => played,
+    }
+}
+
+async fn whole(
+    plan: &Plan,
+    programs: &Programs,
+    progress: impl Fn(f64) + 'static,
 ) -> Result<Played, Failure> {
     plan.check()?;
     enough_descriptors(plan)?;
@@ -142,11 +155,7 @@
             tokio::time::sleep(Duration::from_millis(250)).await;
         }
     });
-    let load = Rc::clone(&play.clients).run(arrivals, zero, plan.settle);
-    tokio::select! {
-        () = load => {}
-        _ = tokio::signal::ctrl_c() => return Err("interrupted; all processes of the play are ended".into()),
-    }
+    Rc::clone(&play.clients).run(arrivals, zero, plan.settle).await;
     ticker.abort();
     faults.abort();
     // What is still under way at servers is told before they end.
@@ -155,6 +164,15 @@
     play.finish().await
 }
 
+/// Which signal came that ends a play.
+async fn interrupted() -> std::io::Result<&'static str> {
+    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        ctrl_c = tokio::signal::ctrl_c() => ctrl_c.map(|()| "interrupted"),
+        _ = term.recv() => Ok("told to end"),
+    }
+}
+
 /// The folder for configurations.
 struct Folder(PathBuf);
 
