--- a/crates/foxhold-lab/src/fleet.rs
+++ b/crates/foxhold-lab/src/fleet.rs
@@ -3,10 +3,12 @@
 //! They speak the line protocol as its page has it. Nothing is evicted and no time is modelled but a stated delay, so
 //! that what a director sees depends on what it asks and on nothing else.
 
+pub use crate::model::Role;
+use crate::standin::unix_ms;
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -15,28 +17,6 @@
 /// The toy deployment's zones: servers stand in the first, caches and clients in the second.
 const ZONES: [&str; 2] = ["hub", "branch"];
 
-/// What a server is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Keeps what it fills, asks a source for what it lacks.
-    Cache,
-    /// Keeps everything that it fetched from the origin.
-    Parent,
-    /// Has everything.
-    Origin,
-}
-
-impl Role {
-    /// The kind's name in the list.
-    pub fn kind(self) -> &'static str {
-        match self {
-            Role::Cache => "cache",
-            Role::Parent => "parent",
-            Role::Origin => "origin",
-        }
-    }
-}
-
 /// A request as a server saw it. Times and ages are left out: they differ from play to play.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
@@ -83,10 +63,6 @@
     state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
-}
-
 impl Fleet {
     /// So many caches and parents and one origin, on ports of their own.
     pub async fn start(caches: usize, parents: usize) -> std::io::Result<Fleet> {
--- a/crates/foxhold-lab/src/load.rs
+++ b/crates/foxhold-lab/src/load.rs
@@ -4,6 +4,7 @@
 use crate::model::size_kb;
 use crate::plan::{Plan, What};
 use crate::standin::unix_ms;
+pub use crate::trace::object;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
@@ -27,11 +28,6 @@
     pub object: u64,
 }
 
-/// The name of an object by its number.
-pub fn object(number: u64) -> String {
-    format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-}
-
 /// What a fault makes of the load while it lasts, from `at` for `lasts` seconds.
 fn during(plan: &Plan, what: What, at: f64) -> Option<&crate::plan::Fault> {
     let holds = |f: &&crate::plan::Fault| {
--- a/crates/foxhold-lab/src/trace.rs
+++ b/crates/foxhold-lab/src/trace.rs
@@ -140,7 +140,7 @@
 const ROOM_MS: f64 = 96.0;
 
 /// The name of the object of that number, counted from 1.
-pub(crate) fn object(number: u64) -> String {
+pub fn object(number: u64) -> String {
     format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
