Estimate what hot objects ask of a cache apart from all else it is asked

Cause: a director that sees 4 requests a second leans on the prior of a cache's load (shape 2, mean 1), so that it reckoned 1.7 where 2.7 was true and passed on a quarter of the other objects, not over a half. Ruled out: late detection (from the second request on an object is wide) and the prior of the object's own share. Requests for hot objects are now counted apart at each cache: their share is told by the few requests themselves; the prior is for the rest. A role's hash order is found when it is used.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,14 +28,17 @@
 /// An object's share of all requests before any is seen, and how sure that is for each part that is hot.
 const USUAL: f64 = 0.01;
 const SURE: f64 = 2.2;
-/// What first places ask of a cache over its fair share, before any is seen; past the bound some go on.
+/// What all but hot objects ask of a cache over its fair share, unseen; past the bound some go on.
 const FAIR: Prior = Prior { mean: 1.0, shape: 2.0 };
-const BOUND: f64 = 1.2;
+const BOUND: f64 = 1.25;
 /// Most objects remembered in each of two generations, and how long one lasts unless it fills up.
 const OBJECTS: usize = 20_000;
 const GENERATION: Micros = 30_000_000;
 /// Servers of a role looked at for a request: an object's own two or three and the next in the hash.
 const FEW: usize = 6;
+/// The roles: the zone's caches, and all parents.
+const CACHES: usize = 0;
+const PARENTS: usize = 1;
 /// Strikes without a success in between that make a server suspected.
 const STRIKES: f64 = 3.0;
 /// A refused or broken connection counts this many strikes: it is plainer than silence.
@@ -144,9 +147,10 @@
 #[derive(Default)]
 struct Server {
     member: Member,
-    /// Our attempts out there, and requests whose objects come first here.
+    /// Our attempts out there, and requests whose objects come first here, those for hot ones apart.
     out: u32,
     first: Fading,
+    hot: Fading,
     /// Our fills under way that name it as source.
     fills: u32,
     /// Fills that failed and were not followed by one that succeeded.
@@ -186,7 +190,7 @@
     held: [(ServerId, Micros); 2],
     /// Its first caches and parents in the hash, by the member list of this number.
     orders: [[ServerId; FEW]; 2],
-    listed: u32,
+    listed: [u32; 2],
 }
 
 impl Object {
@@ -406,15 +410,14 @@
         }
     }
 
-    /// The object's first caches and parents of those running, remembered with it until the list changes.
-    fn hashed(&mut self, object: ObjectId, now: Micros) -> [Vec<ServerId>; 2] {
+    /// The object's first servers of a role of those running, remembered with it until the list changes.
+    fn hashed(&mut self, object: ObjectId, role: usize, now: Micros) -> Vec<ServerId> {
         let known = self.objects.entry(object.0, now);
-        let roles = [&self.caches, &self.parents];
-        if known.listed != self.listed {
-            known.listed = self.listed;
-            known.orders = [0, 1].map(|n| first_few(object, roles[n], self.largest[n]));
+        let listed = [&self.caches, &self.parents][role];
+        if std::mem::replace(&mut known.listed[role], self.listed) != self.listed {
+            known.orders[role] = first_few(object, listed, self.largest[role]);
         }
-        [0, 1].map(|n| known.orders[n][..roles[n].len().min(FEW)].to_vec())
+        known.orders[role][..listed.len().min(FEW)].to_vec()
     }
 
     // ---- health ----
@@ -435,9 +438,8 @@
         }
     }
 
-    /// Strikes against a server; enough of them without a success in between make it suspected.
-    /// Guards against crashes, silence and hangs ahead of the list; a server that is merely slow goes on
-    /// succeeding. Trials, ever further apart, end chance failures in a row and keep a fleet off a lost one.
+    /// Strikes against a server; enough without a success in between make it suspected, ahead of the list.
+    /// Trials, ever further apart, end chance failures in a row and keep a fleet off a lost one.
     fn blame(&mut self, id: ServerId, strikes: f64, now: Micros, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.strikes += strikes;
@@ -612,11 +614,10 @@
 
     /// Picks the cache: the part's first among the object's three. A hot object's is the less busy of two
     /// drawn from as many of them as its share asks for, so that the fleet spreads it right though no
-    /// gateway can be sure. Caches that are suspected, busy, cold beyond their budget or tried already are
-    /// passed over.
+    /// gateway can be sure. Suspected, busy, tried or too cold ones are passed over.
     fn pick_cache(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
         let (object, class_work) = (held.request.object, self.paces[held.request.class].work);
-        let [mut usable, _] = self.hashed(object, now);
+        let mut usable = self.hashed(object, CACHES, now);
         let few = usable.len().min(SPREAD);
         let part = u64::from(held.request.part) + 1;
         usable[..few].sort_by_key(|id| mix(object.0 ^ u64::from(id.0), part));
@@ -643,7 +644,9 @@
             // The same objects at every gateway, each to the next in its own order.
             let over = excess(self.asks(first, now, held.seen.0), BOUND);
             let over = width == 1 && unit(mix(object.0, !u64::from(first.0))) < over;
-            self.servers.entry(usable[0]).and_modify(|s| _ = s.first.add(now, 1.0, FADE));
+            let count =
+                |s: &mut Server| if width > 1 { &mut s.hot } else { &mut s.first }.add(now, 1.0, FADE);
+            self.servers.get_mut(&usable[0]).map(count);
             let next = (1..usable.len()).find(|n| over && self.asks(usable[*n], now, 0.0) <= BOUND);
             usable[..=next.unwrap_or(0)].rotate_right(1);
         }
@@ -659,11 +662,12 @@
         usual.after(held.seen.0, held.seen.1).mean / held.parts / part
     }
 
-    /// What objects that come first at a cache ask over its fair share, as estimated, but for one's own.
+    /// What objects ask of a cache over its fair share, as estimated, but for one's own.
     fn asks(&self, id: ServerId, now: Micros, own: f64) -> f64 {
         let Some(s) = self.servers.get(&id) else { return 0.0 };
-        let fair = self.all.value(now, FADE) * self.size(s) / self.weights[0];
-        FAIR.after((s.first.value(now, FADE) - own).max(0.0), fair).mean
+        let (all, part) = (self.all.value(now, FADE), self.size(s) / self.weights[0]);
+        let others = FAIR.after((s.first.value(now, FADE) - own).max(0.0), all * part).mean;
+        others + s.hot.value(now, FADE) / ((all + 2.0 * SURE) * part)
     }
 
     /// Our transfers under way at a cache over its link, as if the zone's other gateways sent as much.
@@ -674,8 +678,7 @@
     }
 
     /// How many times as long as at full pace a cache takes to send, by our transfers there and what hits
-    /// took lately. Guards against a cache that answers all and sends slowly, by a fault or by what others
-    /// ask of it.
+    /// took lately. Guards against one that answers all and sends slowly.
     fn crowd(&self, id: ServerId) -> f64 {
         let (load, times) = (self.load(id), self.crowds.over_quickest(id.0));
         times.filter(|times| *times >= LIMPS).map_or(load, |times| times * load.max(1.0))
@@ -688,7 +691,7 @@
         if self.settings.classes[held.request.class].write {
             return self.origin;
         }
-        let [_, mut order] = self.hashed(object, now);
+        let mut order = self.hashed(object, PARENTS, now);
         if let [first, second, ..] = order[..] {
             let since = self.servers[&second].member.since;
             let open = self.wants(held, first, self.weights[1]) >= 1.0
@@ -708,7 +711,7 @@
 
     /// A parent without room may still be asked for what it holds: that asks nothing of the origin.
     fn pick_held(&mut self, now: Micros, held: &Held) -> Option<ServerId> {
-        let first = *self.hashed(held.request.object, now)[1].first()?;
+        let first = *self.hashed(held.request.object, PARENTS, now).first()?;
         let class = &self.settings.classes[held.request.class];
         let fits = !class.write && held.attempts.is_empty() && self.servers[&first].busy_until <= now;
         (fits && self.healthy(first, now) && self.cold_take(first, held.work, now, false)).then_some(first)
@@ -722,8 +725,7 @@
     }
 
     /// Narrows a source's window when too many of its fills are late or fail; success widens it. Guards
-    /// against a source swamped from elsewhere, which our own tally can't see, and against pushing the origin
-    /// over. It can harm where slow caches make their sources look slow; success widens the window again.
+    /// against a source swamped from elsewhere, which our tally can't see, and the origin against its fall.
     fn fill_ended(&mut self, source: Option<ServerId>, failed: bool, slow: bool) {
         let Some(s) = source.and_then(|s| self.servers.get_mut(&s)) else { return };
         let bad = failed || slow;
@@ -837,8 +839,7 @@
     fn too_slow(&self, now: Micros, held: &Held, cache: ServerId) -> bool {
         let (pace, load) = (&self.paces[held.request.class], self.crowd(cache));
         let left = held.aim.saturating_sub(now) as f64;
-        // Guards against refusing clients that wait less than usual while nothing is crowded: a refusal
-        // spares nobody then, so that only what can't be sent in time is turned away.
+        // While nothing is crowded a refusal spares nobody: only what can't be sent in time is turned away.
         if load <= 1.0 {
             return held.work > left;
         }
@@ -974,8 +975,7 @@
 
     /// An answer is late. A cache or source silent since the send is blamed; once it is suspected, others are
     /// asked. Where both go on answering, and answers are lost at large, the same cache is asked again, if it
-    /// can join a fill: the work was done, and no bytes cross the zone's link. Else a full link or a large
-    /// object is the cause, another fill of the same bytes would make it worse, and it is waited for.
+    /// can join a fill: the work was done. Else another fill of the same bytes would only be one more.
     fn late(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.started) else {
             return;
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -78,10 +78,11 @@
     f64::from(*got.values().max().expect("some")) / mean
 }
 
-/// Before: 6.9 times the mean at 200 routers, for none of them ever found the object hot.
+/// Before: 6.9 times the mean at 200 routers, for none of them ever found the object hot; and 2.7 while what
+/// its caches got was estimated with one prior for hot objects and all others.
 #[test]
 fn an_object_with_a_quarter_of_all_requests_is_spread_though_each_router_sees_few_of_them() {
-    for (routers, most) in [(1, 2.7), (20, 2.8), (200, 3.0)] {
+    for (routers, most) in [(1, 2.6), (20, 2.6), (200, 2.6), (500, 2.7)] {
         let busiest = busiest_over_mean(&play(routers, 0.25, 30, 15));
         assert!(busiest < most, "{routers} routers: {busiest}");
     }
