Play directors that talk before the stand-ins: words told to one, cut talk, storms by seed

Need: that a word told to one director is kept by all has to show in what servers are asked, not in tables alone.

A play of three directors killed and started anew found that they took over 2 s to hear of a drain: others still knew the runs before, whose names nobody answers to, so that they met by suspicion only. The tests of the lab build the daemon each time, for one that was there already could be an older one.

--- a/crates/foxhold-lab/src/harness.rs
+++ b/crates/foxhold-lab/src/harness.rs
@@ -10,11 +10,13 @@
 use crate::replay::Failure;
 use crate::report::{Played, Seen};
 use crate::standin::{unix_ms, Kind, Noted, Start, Told};
+use crate::talk::{call, Relays, Way};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
@@ -116,6 +118,8 @@
     zero_ms: Cell<u64>,
     specs: BTreeMap<String, Spec>,
     ending: Cell<bool>,
+    /// Relays between directors, where they talk.
+    talk: RefCell<Option<Relays>>,
 }
 
 /// Plays a plan. Needs a `LocalSet`; `progress` is told the seconds played.
@@ -142,6 +146,9 @@
     std::fs::create_dir_all(&programs.folder)?;
     let _folder = Folder(programs.folder.clone());
     let play = Rc::new(Play::prepare(plan, programs).await?);
+    if plan.peers {
+        *play.talk.borrow_mut() = Some(Relays::open(plan.directors, plan.seed, &programs.folder).await?);
+    }
     play.start_servers().await?;
     play.link_servers().await?;
     play.start_directors().await?;
@@ -272,6 +279,7 @@
             zero_ms: Cell::new(unix_ms()),
             specs,
             ending: Cell::new(false),
+            talk: RefCell::default(),
         })
     }
 
@@ -506,12 +514,20 @@
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .kill_on_drop(true);
+        if let Some(relays) = self.talk.borrow().as_ref() {
+            let operator = self.programs.folder.join(format!("{name}.yaml"));
+            std::fs::write(&operator, relays.operator(number as usize - 1, ""))?;
+            command.env("FOXHOLD_FRONT", operator);
+        }
         let mut child = command.spawn().map_err(|e| format!("{name}: {e}"))?;
         let mut lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
         *part.process.borrow_mut() = Some(Process::new(child));
-        let first = tokio::time::timeout(Duration::from_secs(20), lines.next_line()).await;
-        let first =
-            first.map_err(|_| format!("{name} does not start"))??.ok_or(format!("{name} ended at once"))?;
+        let mut first = String::new();
+        while !first.contains("clients on ") {
+            let line = tokio::time::timeout(Duration::from_secs(20), lines.next_line()).await;
+            let line = line.map_err(|_| format!("{name} does not start"))??;
+            first = line.ok_or(format!("{name} ended at once: {first}"))?;
+        }
         let address = first.trim_end().rsplit(' ').next().filter(|a| a.contains(':'));
         let address = address.ok_or(format!("{name}: {first}"))?.to_owned();
         *part.address.borrow_mut() = address.clone();
@@ -544,6 +560,7 @@
         let (notices, rev) = self.events(name, 0);
         let notices = notices.join(",");
         let board = self.seen.borrow().boards[name].clone();
+        let ops = self.door_of(name).map(|door| format!(r#","ops":"{door}""#)).unwrap_or_default();
         let list = |f: &dyn Fn(&crate::plan::ClassPlan) -> String| {
             plan.classes.iter().map(f).collect::<Vec<_>>().join(",")
         };
@@ -559,7 +576,7 @@
         let (warm, window) = (WARM * 1e3, FALL_WINDOW * 1e3);
         format!(
             r#"{{"name":"{name}","listen":"{listen}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":64,"sockets":512}},
-"board":"{board}","known":{{"rev":{rev},"notices":[{notices}]}},
+"board":"{board}"{ops},"known":{{"rev":{rev},"notices":[{notices}]}},
 "settings":{{"balancers":{directors},"zone":"branch","zones":["hub","branch"],"kinds":["cache","parent","origin"],
 "weights":"nominal","services":[{services}],
 "familyInfo":{{"midKind":1,"storeKind":2,"flowKbPerS":{flow},"noteLevel":"all","passThroughOk":true,"collapses":false,
@@ -632,13 +649,41 @@
                     }
                 }
             }
-            What::Purge if begins => self.purge(fault).await,
+            What::Purge if begins => self.purge(fault).await?,
             What::Drain if begins => {
                 for name in whom {
-                    self.publish(News::Member { name: name.clone(), phase: "terminating", since: 0 });
+                    match &fault.by {
+                        Some(by) => self.say(by, &format!("drain {name}")).await?,
+                        None => {
+                            self.publish(News::Member { name: name.clone(), phase: "terminating", since: 0 });
+                        }
+                    }
                     self.tell(&name, &Told::Drain).await;
                 }
             }
+            What::Undrain if begins => {
+                for name in whom {
+                    self.tell(&name, &Told::Undrain).await;
+                    if let Some(by) = &fault.by {
+                        self.say(by, &format!("undrain {name}")).await?;
+                    }
+                }
+            }
+            What::Talk => {
+                let hurt = Way { lost: fault.lost, twice: 0.0, late_ms: fault.late_ms };
+                for (a, b) in pairs(&self.plan, fault).into_iter().filter(|(a, b)| a != b) {
+                    let (Some(from), Some(to)) = (number_of(&a), number_of(&b)) else { continue };
+                    if let Some(relays) = self.talk.borrow().as_ref() {
+                        let way = if begins { hurt } else { Way::default() };
+                        relays.net.set(from, to, way);
+                        relays.net.set(to, from, way);
+                    }
+                    if hurt.lost >= 1.0 {
+                        self.door(&a, |door| door.hears_late.set(true));
+                        self.door(&b, |door| door.hears_late.set(true));
+                    }
+                }
+            }
             What::Plant if begins => {
                 for name in whom {
                     match fault.breach {
@@ -654,14 +699,30 @@
                     self.tell(&name, &Told::Slow(times)).await;
                 }
             }
-            What::Hot | What::Burst | What::Purge | What::Drain | What::Plant => {} // drawn with the load; or over at once
+            // Drawn with the load; or over at once.
+            What::Hot | What::Burst | What::Purge | What::Drain | What::Undrain | What::Plant => {}
         }
         Ok(())
     }
 
+    /// Where a director's operators ask, where directors talk.
+    fn door_of(&self, name: &str) -> Option<SocketAddr> {
+        Some(self.talk.borrow().as_ref()?.door(number_of(name)?))
+    }
+
+    /// A director's operators say something, which is to be news.
+    async fn say(&self, director: &str, line: &str) -> Result<(), Failure> {
+        let door = self.door_of(director).ok_or("directors do not talk")?;
+        let answer = call(door, line).await?;
+        if answer.starts_with("YES") {
+            Ok(())
+        } else {
+            Err(format!("{director}: {line}: {answer}").into())
+        }
+    }
+
     fn door(&self, name: &str, f: impl FnOnce(&crate::load::Door)) {
-        let number = name.strip_prefix("director-").and_then(|n| n.parse::<usize>().ok());
-        if let Some(door) = number.and_then(|n| self.clients.doors.get(n - 1)) {
+        if let Some(door) = number_of(name).and_then(|n| self.clients.doors.get(n)) {
             f(door);
         }
     }
@@ -701,7 +762,7 @@
         }
     }
 
-    async fn purge(self: &Rc<Self>, fault: &Fault) {
+    async fn purge(self: &Rc<Self>, fault: &Fault) -> Result<(), Failure> {
         let ms = unix_ms();
         let purged = if fault.object > 0 {
             vec![Purged { object: Some(object(fault.object)), groups: Vec::new(), ms }]
@@ -711,7 +772,14 @@
         };
         self.clients.book.borrow_mut().purges.extend(purged.iter().cloned());
         for purge in &purged {
-            self.publish(News::Purge(purge.clone()));
+            let word = match (&purge.object, purge.groups.first()) {
+                (Some(object), _) => format!("purge object {object}"),
+                (None, group) => format!("purge group {}", group.copied().unwrap_or(0)),
+            };
+            match &fault.by {
+                Some(by) => self.say(by, &word).await?,
+                None => self.publish(News::Purge(purge.clone())),
+            }
         }
         // Servers drop their older copies by themselves, each in its own time.
         let mut random = StdRng::seed_from_u64(self.plan.seed ^ ms);
@@ -725,6 +793,7 @@
                 }
             });
         }
+        Ok(())
     }
 
     /// Ends all and hands over what was seen.
@@ -744,6 +813,11 @@
     }
 }
 
+/// A director's place.
+fn number_of(name: &str) -> Option<usize> {
+    name.strip_prefix("director-")?.parse::<usize>().ok()?.checked_sub(1)
+}
+
 /// Who connects to whom on the links that a fault hurts.
 fn pairs(plan: &Plan, fault: &Fault) -> Vec<(String, String)> {
     let to = match fault.to.as_str() {
--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`load`] | an open-loop load, and what comes back held against the rules |
 //! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
 //! | [`report`] | its figures as JSON, and one page with plots |
+//! | [`storm`] | a play of drawn faults among directors that talk |
 //! | [`talk`] | directors that talk among themselves, and the ways between them |
 //! | [`talk_play`] | what their talk costs, and how fast a word is with all |
 //! | [`fleet`] | stand-in caches, parents, origin and notice board within this process |
@@ -28,6 +29,7 @@
 pub mod replay;
 pub mod report;
 pub mod standin;
+pub mod storm;
 pub mod talk;
 pub mod talk_play;
 pub mod trace;
--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -62,6 +62,9 @@
     Fleet {
         /// The plan; without one a calm play
         file: Option<PathBuf>,
+        /// In place of a plan: faults drawn by the seed among directors that talk, 20 for 120 s unless told otherwise
+        #[arg(long, conflicts_with = "file")]
+        storm: bool,
         /// The director's program
         #[arg(long, default_value = "target/release/foxhold")]
         daemon: PathBuf,
@@ -127,8 +130,12 @@
             foxhold_lab::standin::process(serde_json::from_str(&start)?)?;
             Ok(true)
         }
-        Command::Fleet { file, daemon, directors, seed, seconds, json, html } => {
+        Command::Fleet { file, storm, daemon, directors, seed, seconds, json, html } => {
             let mut plan = match file {
+                _ if storm => {
+                    let (directors, seconds) = (directors.unwrap_or(20), seconds.unwrap_or(120.0));
+                    foxhold_lab::storm::draw(directors, seconds, seed.unwrap_or(1))
+                }
                 Some(file) => {
                     let text =
                         std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/crates/foxhold-lab/src/plan.rs
+++ b/crates/foxhold-lab/src/plan.rs
@@ -78,6 +78,15 @@
     /// The rule that a planted fault breaks.
     #[serde(default)]
     pub breach: Option<Breach>,
+    /// The director whose operators tell of a drain, undrain or purge; none: the board does.
+    #[serde(default)]
+    pub by: Option<String>,
+    /// The share of messages that the talk between directors loses; 1: all.
+    #[serde(default)]
+    pub lost: f64,
+    /// And up to how many milliseconds late each comes.
+    #[serde(default)]
+    pub late_ms: u64,
 }
 
 /// Kinds of faults.
@@ -94,8 +103,12 @@
     Hot,
     /// The board and the servers are told of a purge: of an object, or of a share of all groups.
     Purge,
-    /// The board tells that a server drains.
+    /// The board tells that a server drains, or a director's operators do.
     Drain,
+    /// A director's operators take that back.
+    Undrain,
+    /// What directors say to each other, between `who` and `to` both ways, is lost or late.
+    Talk,
     /// A server takes so many times as long.
     Slow,
     /// So many times the load.
@@ -154,6 +167,8 @@
     pub often_part: f64,
     /// See `often_part`.
     pub often: f64,
+    /// Directors talk among themselves.
+    pub peers: bool,
     /// The classes.
     pub classes: Vec<ClassPlan>,
     /// What goes wrong.
@@ -190,6 +205,7 @@
             origin_rate: 400.0,
             often_part: 0.0,
             often: 1.0,
+            peers: false,
             classes: vec![
                 class("page-bits", 0.97, 40.0, 250.0, 3_000.0, false),
                 class("filing-submit", 0.03, 4.0, 700.0, 3_000.0, true),
@@ -257,7 +273,14 @@
             }
             let named = matches!(
                 fault.what,
-                What::Kill | What::Stall | What::Drain | What::Slow | What::Link | What::Plant
+                What::Kill
+                    | What::Stall
+                    | What::Drain
+                    | What::Undrain
+                    | What::Talk
+                    | What::Slow
+                    | What::Link
+                    | What::Plant
             );
             if named && self.whom(&fault.who).is_none_or(|w| w.is_empty()) {
                 return error(&place, format!("who: nobody here is called '{}'", fault.who));
@@ -265,6 +288,21 @@
             if fault.what == What::Plant && fault.breach.is_none() {
                 return error(&place, "breach: the rule to break is missing".into());
             }
+            let talks = fault.by.is_some() || matches!(fault.what, What::Talk | What::Undrain);
+            if talks && !self.peers {
+                return error(&place, "directors talk only where the plan says peers: true".into());
+            }
+            let one =
+                |name: &String| self.whom(name).filter(|w| w.len() == 1 && name.starts_with("director"));
+            if fault.by.as_ref().is_some_and(|by| one(by).is_none()) {
+                return error(&place, "by: is not one director".into());
+            }
+            if fault.what == What::Undrain && fault.by.is_none() {
+                return error(&place, "by: the director that is told is missing".into());
+            }
+            if fault.what == What::Talk && self.whom(&fault.to).is_none() {
+                return error(&place, format!("to: nobody here is called '{}'", fault.to));
+            }
             if fault.what == What::Link && fault.to != "board" && self.whom(&fault.to).is_none() {
                 return error(&place, format!("to: nobody here is called '{}'", fault.to));
             }
@@ -340,6 +378,9 @@
             ("faults: [{at: 99, do: burst}]", "faults, number 1"),
             ("faults: [{at: 1, do: kill, who: cache-99}]", "faults, number 1"),
             ("faults: [{at: 1, do: link, who: directors, to: nobody}]", "faults, number 1"),
+            ("faults: [{at: 1, do: drain, who: cache-1, by: director-1}]", "faults, number 1"),
+            ("peers: true\nfaults: [{at: 1, do: undrain, who: cache-1}]", "faults, number 1"),
+            ("peers: true\nfaults: [{at: 1, do: talk, who: directors}]", "faults, number 1"),
             ("faults: [{at: 1, do: burn}]", "plan"),
             ("colour: red", "plan"),
         ] {
--- a/crates/foxhold-lab/src/standin.rs
+++ b/crates/foxhold-lab/src/standin.rs
@@ -29,6 +29,8 @@
     Peers(HashMap<String, String>),
     /// It drains: what comes over a second later breaks a rule.
     Drain,
+    /// It no longer drains.
+    Undrain,
     /// Drops copies made before this Unix millisecond: of an object, or of all objects of these groups.
     Purge {
         /// 16 hex digits.
@@ -300,6 +302,7 @@
         match word {
             Told::Peers(peers) => *self.peers.borrow_mut() = peers,
             Told::Drain => self.drained.set(Some(Instant::now())),
+            Told::Undrain => self.drained.set(None),
             Told::Slow(times) => self.slow.set(times.max(1e-3)),
             Told::Delay(seconds) => self.delay.set(seconds),
             Told::Plant(breach) => self.planted.set(Some(breach)),
--- a/crates/foxhold-lab/src/talk.rs
+++ b/crates/foxhold-lab/src/talk.rs
@@ -107,18 +107,75 @@
 /// Lines of a director's log, with when they came.
 type Log = Rc<RefCell<Vec<(Instant, String)>>>;
 
+/// The relays of a fleet, and what of its directors' settings goes by them.
+pub struct Relays {
+    number: u8,
+    directors: usize,
+    /// The ways between them.
+    pub net: Rc<Net>,
+    _tasks: JoinSet<()>,
+}
+
+impl Relays {
+    /// Opens a relay for each director, and writes the fleet's key into a folder. Needs a `LocalSet`.
+    pub async fn open(directors: usize, seed: u64, folder: &Path) -> Result<Relays, Failure> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        if directors > MOST {
+            return Err(format!("{directors} directors: {MOST} at most").into());
+        }
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) as u8;
+        std::fs::write(folder.join("peers.key"), format!("{}\n", "c2VjcmV0".repeat(5)))?;
+        let net = Rc::new(Net {
+            ways: RefCell::default(),
+            usual: Cell::default(),
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
+            arrived: RefCell::new(vec![(0, 0); directors]),
+        });
+        let mut tasks = JoinSet::new();
+        for n in 0..directors {
+            let socket = UdpSocket::bind((ip(number, n), RELAY)).await?;
+            tasks.spawn_local(relay(Rc::new(socket), net.clone(), number, n));
+        }
+        Ok(Relays { number, directors, net, _tasks: tasks })
+    }
+
+    /// Where others reach a director.
+    pub fn reached_at(&self, n: usize) -> SocketAddr {
+        (ip(self.number, n), RELAY).into()
+    }
+
+    /// A director's door.
+    pub fn door(&self, n: usize) -> SocketAddr {
+        (ip(self.number, n), DOOR).into()
+    }
+
+    /// A director's operator's file, with further keys of the section `peers`.
+    pub fn operator(&self, n: usize, keys: &str) -> String {
+        let seeds: Vec<String> =
+            (0..self.directors.min(3)).map(|s| format!("\"{}\"", self.reached_at(s))).collect();
+        format!(
+            "peers: {{listen: \"{}:{HEARS}\", advertise: \"{}\", name: director-{n}, fleet: lab, \
+             key: peers.key, about: {}, seeds: [{}]{}{keys}}}\n",
+            ip(self.number, n),
+            self.reached_at(n),
+            self.directors,
+            seeds.join(", "),
+            if keys.is_empty() { "" } else { ", " },
+        )
+    }
+}
+
 /// A fleet of directors that talk.
 pub struct Fleet {
     setup: Setup,
     director: PathBuf,
     folder: Folder,
-    net_number: u8,
+    relays: Relays,
     /// By director; none: not running.
     processes: Vec<Option<Process>>,
     logs: Vec<Log>,
     /// The ways between them.
     pub net: Rc<Net>,
-    _relays: JoinSet<()>,
 }
 
 /// The loopback address of a director: fleets of one process, and of two processes side by side, do not meet.
@@ -143,38 +200,15 @@
     /// Opens the relays; no director runs yet. Needs a `LocalSet`.
     pub async fn prepare(director: &Path, setup: Setup) -> Result<Fleet, Failure> {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
-        if setup.directors > MOST {
-            return Err(format!("{} directors: {MOST} at most", setup.directors).into());
-        }
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("foxhold-talk-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        std::fs::write(folder.join("peers.key"), format!("{}\n", "c2VjcmV0".repeat(5)))?;
-        let net = Rc::new(Net {
-            ways: RefCell::default(),
-            usual: Cell::default(),
-            random: RefCell::new(StdRng::seed_from_u64(setup.seed)),
-            arrived: RefCell::new(vec![(0, 0); setup.directors]),
-        });
-        let mut relays = JoinSet::new();
-        let net_number = number as u8;
-        for n in 0..setup.directors {
-            let socket = UdpSocket::bind((ip(net_number, n), RELAY)).await?;
-            relays.spawn_local(relay(Rc::new(socket), net.clone(), net_number, n));
-        }
+        let folder = Folder(folder);
+        let relays = Relays::open(setup.directors, setup.seed, &folder.0).await?;
         let processes = (0..setup.directors).map(|_| None).collect();
         let logs = (0..setup.directors).map(|_| Log::default()).collect();
-        let director = director.canonicalize()?;
-        Ok(Fleet {
-            setup,
-            director,
-            folder: Folder(folder),
-            net_number,
-            processes,
-            logs,
-            net,
-            _relays: relays,
-        })
+        let (director, net) = (director.canonicalize()?, relays.net.clone());
+        Ok(Fleet { setup, director, folder, relays, processes, logs, net })
     }
 
     /// Opens the relays and starts all directors.
@@ -203,12 +237,12 @@
 
     /// Where others reach a director: its relay.
     pub fn reached_at(&self, n: usize) -> SocketAddr {
-        (ip(self.net_number, n), RELAY).into()
+        self.relays.reached_at(n)
     }
 
     /// A director's door.
     pub fn door(&self, n: usize) -> SocketAddr {
-        (ip(self.net_number, n), DOOR).into()
+        self.relays.door(n)
     }
 
     /// Starts some directors at once, and waits until each serves.
@@ -242,28 +276,17 @@
         &self,
         n: usize,
     ) -> Result<(Process, tokio::io::Lines<BufReader<tokio::process::ChildStderr>>), Failure> {
-        let here = ip(self.net_number, n);
         let folder = &self.folder.0;
         let config = folder.join(format!("config-{n}.json"));
-        std::fs::write(&config, platform(here, n))?;
-        let seeds: Vec<String> =
-            (0..self.len().min(3)).map(|s| format!("\"{}\"", self.reached_at(s))).collect();
-        let lasting = if self.setup.lasting {
+        std::fs::write(&config, platform(self.door(n), n))?;
+        let mut keys: Vec<String> = Vec::new();
+        if self.setup.lasting {
             let state = self.state_folder(n);
             std::fs::create_dir_all(&state)?;
-            format!(", folder: \"{}\"", state.display())
-        } else {
-            String::new()
-        };
-        let keys = &self.setup.keys;
-        let operator = format!(
-            "peers: {{listen: \"{here}:{HEARS}\", advertise: \"{}\", name: director-{n}, fleet: lab, \
-             key: peers.key, about: {}, seeds: [{}]{lasting}{}{keys}}}\n",
-            self.reached_at(n),
-            self.len(),
-            seeds.join(", "),
-            if keys.is_empty() { "" } else { ", " },
-        );
+            keys.push(format!("folder: \"{}\"", state.display()));
+        }
+        keys.extend((!self.setup.keys.is_empty()).then(|| self.setup.keys.clone()));
+        let operator = self.relays.operator(n, &keys.join(", "));
         let file = folder.join(format!("operator-{n}.yaml"));
         std::fs::write(&file, operator)?;
         let mut command = Command::new(&self.director);
@@ -420,7 +443,7 @@
 }
 
 /// The platform's configuration of a director: a list of its own, no board, a door.
-fn platform(here: Ipv4Addr, n: usize) -> String {
+fn platform(door: SocketAddr, n: usize) -> String {
     let member = |name: &str, kind: &str, zone: &str, since: u64| {
         format!(
             r#"{{"id":"{name}","host_port":"127.0.0.1:1","locality":"{zone}","flavor":"{kind}","phase":"in_service","size":8,"up_since_ms":{since}}}"#
@@ -433,13 +456,14 @@
         member("origin", "origin", "hub", 0),
     ];
     format!(
-        r#"{{"name":"director-{n}","listen":"{here}:0","seed":"{n:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},
-"board":"","ops":"{here}:{DOOR}","known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
+        r#"{{"name":"director-{n}","listen":"{}:0","seed":"{n:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},
+"board":"","ops":"{door}","known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
 "settings":{{"balancers":1,"zone":"branch","zones":["hub","branch"],"kinds":["cache","parent","origin"],"weights":"nominal",
 "services":[{{"name":"guide-videos","aimMs":400,"aimStretch":1.6,"deadlineMs":5000,"effect":"idempotent","worth":2}}],
 "familyInfo":{{"midKind":1,"storeKind":2,"flowKbPerS":9500,"noteLevel":"all","passThroughOk":true,"passOn":[false,true],"instancesByZone":[0,1],"purgeGraceMs":1000,"purgeDoneMs":6000}},
 "bounds":{{"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":1000,"maxAttempts":6,"probes":true,"connectTimeoutMs":400,"connIdleMs":30000,"streamsPerConn":100}},
 "rules":{{"stopSendingWithinMs":1000,"coldFrom":0.17,"warmWithinMs":16000,"fallMultiple":2.5,"overloadForMs":3000}}}}}}"#,
+        door.ip(),
         members.join(",")
     )
 }
--- a/crates/foxhold-lab/tests/common/mod.rs
+++ b/crates/foxhold-lab/tests/common/mod.rs
@@ -2,16 +2,21 @@
 
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::OnceLock;
 
-/// The daemon's program as this profile builds it.
+/// The daemon's program as this profile builds it, brought up to date: tests of this crate alone do not build it.
 pub fn daemon() -> PathBuf {
-    let target = std::env::current_exe().expect("a path");
-    let program = target.ancestors().nth(2).expect("a folder").join("foxhold");
-    if !program.exists() {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    let built = || {
+        let target = std::env::current_exe().expect("a path");
         let mut build = Command::new(env!("CARGO"));
-        build.args(["build", "--locked", "-p", "foxhold", "--bin", "foxhold"]);
+        build.args(["build", "--locked", "--quiet", "-p", "foxhold", "--bin", "foxhold"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
         let status = build.current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../..")).status();
         assert!(status.expect("cargo").success());
-    }
-    program
+        target.ancestors().nth(2).expect("a folder").join("foxhold")
+    };
+    BUILT.get_or_init(built).clone()
 }
--- a/crates/foxhold-lab/tests/fleet.rs
+++ b/crates/foxhold-lab/tests/fleet.rs
@@ -109,6 +109,53 @@
     sound(&played, 0.95);
 }
 
+/// Requests at one server in all tenths of a second within a span.
+fn within(played: &Played, server: &str, seconds: std::ops::Range<f64>) -> u32 {
+    let tenths = (seconds.start * 10.0) as usize..(seconds.end * 10.0) as usize;
+    played.load[server].tenths[tenths].iter().sum()
+}
+
+const LOSSY: &str = "{at: 0, do: talk, who: directors, to: directors, lost: 0.2, late_ms: 200}";
+
+#[test]
+fn a_drain_told_to_one_of_directors_that_talk_is_kept_by_all_and_ends_for_all() {
+    let drain = "{at: 1, do: drain, who: cache-2, by: director-3}";
+    let undrain = "{at: 4, do: undrain, who: cache-2, by: director-1}";
+    let played = played("told", &format!("peers: true, seconds: 7, faults: [{LOSSY}, {drain}, {undrain}]"));
+    sound(&played, 0.95);
+    assert!(within(&played, "cache-2", 0.0..1.0) > 5, "used before");
+    assert_eq!(within(&played, "cache-2", 2.1..4.0), 0, "nothing new a second after the word");
+    assert!(within(&played, "cache-2", 5.0..7.0) > 5, "used again");
+}
+
+#[test]
+fn a_purge_told_to_one_while_half_of_the_talk_is_cut_leaves_no_older_copy_once_it_is_back() {
+    let cut = "{at: 1, for: 2, do: talk, who: directors 1-2, to: directors 3-4, lost: 1}";
+    let purge = "{at: 1.5, do: purge, object: 1, by: director-1}";
+    let played = played("purged", &format!("peers: true, seconds: 7, faults: [{cut}, {purge}]"));
+    sound(&played, 0.95);
+}
+
+#[test]
+fn directors_that_start_anew_learn_from_the_others_what_only_operators_had_told() {
+    let drain = "{at: 1, do: drain, who: cache-2, by: director-4}";
+    let restart = "{at: 2.5, do: kill, who: directors 1-3}";
+    let played = played("anew", &format!("peers: true, seconds: 7, faults: [{drain}, {restart}]"));
+    // Until it has caught up, some tenths of a second, a new process knows the board's list only.
+    let others: Vec<_> = played.breaches.iter().filter(|b| !b.contains("drain")).collect();
+    assert!(others.is_empty(), "{others:?}");
+    assert_eq!(within(&played, "cache-2", 4.0..7.0), 0, "the new processes heed the word");
+}
+
+/// The check of the plays above finds what a fleet without talk does: the word stays with one.
+#[test]
+fn a_drain_that_the_others_never_hear_of_is_found() {
+    let cut = "{at: 0, do: talk, who: directors, to: directors, lost: 1}";
+    let drain = "{at: 1, do: drain, who: cache-2, by: director-3}";
+    let played = played("unheard", &format!("peers: true, seconds: 4, faults: [{cut}, {drain}]"));
+    assert!(played.breaches.iter().any(|b| b.contains("told to drain")), "{:?}", played.breaches);
+}
+
 #[test]
 fn what_breaks_a_rule_is_found() {
     for (fault, found) in [
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -25,7 +25,7 @@
 use members::{Due, Member, Members};
 use miniserde::Serialize;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +41,8 @@
 /// While a director still hears of members that it had not known it asks some for theirs, this often.
 const MEET: Duration = Duration::from_millis(250);
 const MEET_ASK: usize = 2;
+/// Members that speak and are not known are greeted, one in so long.
+const GREETING: Duration = Duration::from_millis(100);
 /// Changes are written to the disk every so often, and the time at least.
 const WRITE: Duration = Duration::from_millis(200);
 const WRITE_TIME: Duration = Duration::from_secs(5);
@@ -130,6 +132,9 @@
     timer_of: HashMap<u64, Timer<Member>>,
     timer_count: u64,
     heard: HashMap<SocketAddr, Micros>,
+    /// Members as they are known, by which one that has started anew is seen.
+    there: HashSet<Member>,
+    next_greeting: Instant,
     foreign: BTreeMap<Foreign, u64>,
     /// News that the core had no room for yet.
     for_core: VecDeque<News>,
@@ -224,6 +229,8 @@
         timer_of: HashMap::new(),
         timer_count: 0,
         heard: HashMap::new(),
+        there: HashSet::new(),
+        next_greeting: at,
         foreign: BTreeMap::new(),
         for_core: VecDeque::new(),
         drains_due: BTreeMap::new(),
@@ -564,7 +571,8 @@
             for change in due.changes {
                 tracing::info!("peers: {change}");
             }
-            let others: Vec<SocketAddr> = self.members.others().into_iter().map(|m| m.address).collect();
+            self.there = self.members.others().into_iter().collect();
+            let others: Vec<SocketAddr> = self.there.iter().map(|m| m.address).collect();
             let dead: BTreeSet<SocketAddr> = self.members.dead().into_iter().map(|m| m.address).collect();
             self.heard.retain(|address, _| others.contains(address) || dead.contains(address));
             self.talk.members(others);
@@ -601,6 +609,14 @@
         }
         let now = self.now();
         self.heard.insert(from, now.steady);
+        // Who speaks and is not known like that has started anew, or this director has: they meet at once, not when
+        // the one has taken the other for dead.
+        let at = Instant::now();
+        if at >= self.next_greeting && !self.there.contains(&message.from) {
+            self.next_greeting = at + GREETING;
+            let due = self.members.announce(from);
+            self.due(due);
+        }
         match message.body {
             Body::Swim(bytes) => {
                 let due = self.members.heard(&bytes);
