--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -609,8 +609,8 @@
         }
         let now = self.now();
         self.heard.insert(from, now.steady);
-        // Who speaks and is not known like that has started anew, or this director has: they meet at once, not when
-        // the one has taken the other for dead.
+        // Who speaks and is not known like that has started anew, or this director has: they meet at once,
+        // not when the one has taken the other for dead.
         let at = Instant::now();
         if at >= self.next_greeting && !self.there.contains(&message.from) {
             self.next_greeting = at + GREETING;
