--- a/tests/core.rs
+++ b/tests/core.rs
@@ -232,6 +232,23 @@
     });
 }
 
+#[test]
+fn while_it_is_careful_no_copy_from_before_a_moment_is_served_and_none_is_joined() {
+    paused(async {
+        let site = site();
+        for (at, limited) in [(Some(site.clock.unix() - 250_000), true), (None, false)] {
+            site.core.reports().send(Message::NotBefore(at)).await;
+            let pending = site.core.ask(ask(0));
+            settle().await;
+            let want = site.told.wants().pop().expect("an attempt").1;
+            assert_eq!(want.max_age_ms > 0 && want.max_age_ms <= 300, limited, "{}", want.max_age_ms);
+            assert!(!(limited && want.join));
+            end(&site, want.ticket, copy()).await;
+            assert!(matches!(pending.await, Answer::Served(_)));
+        }
+    });
+}
+
 #[test]
 fn a_credential_that_expires_while_its_request_waits_ends_it_at_that_moment() {
     for (class, expected) in [
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -12,7 +12,7 @@
 fn the_file_under_deploy_leaves_all_off() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/foxhold.yaml");
     let operator = Operator::read(&path).expect("a good file");
-    assert_eq!((operator.signed, operator.xds), (None, None));
+    assert_eq!((operator.signed, operator.xds, operator.peers), (None, None, None));
 }
 
 #[test]
@@ -30,6 +30,46 @@
     assert_eq!(parse("").expect("an empty file"), Operator::default());
 }
 
+const PEERS: &str = "listen: '127.0.0.1:7300', name: a, fleet: toy, key: peers.key";
+
+#[test]
+fn talk_among_directors_is_read_with_its_usual_values() {
+    let peers =
+        parse(&format!("peers: {{{PEERS}, seeds: ['127.0.0.1:7301']}}\n")).expect("a good file").peers;
+    let peers = peers.expect("a section");
+    assert_eq!((peers.advertise, peers.careful, peers.folder), (peers.listen, None, None));
+    assert_eq!((peers.seeds.len(), peers.horizon.as_secs(), peers.entries), (1, 600, 200_000));
+    assert_eq!(peers.key, PathBuf::from("/etc/foxhold/peers.key"));
+    let careful = parse(&format!("peers: {{{PEERS}, mode: careful, careful_ms: 500, folder: state}}\n"));
+    let careful = careful.expect("a good file").peers.expect("a section");
+    assert_eq!(careful.careful.map(|c| c.as_millis()), Some(500));
+    assert_eq!(careful.folder, Some("/etc/foxhold/state".into()));
+}
+
+#[test]
+fn faults_in_the_section_on_talk_are_named_with_their_key() {
+    for (keys, says) in [
+        ("name: b", "duplicate"),
+        ("advertise: 'director:7300'", "peers.advertise: 'director:7300' is no address and port"),
+        ("advertise: '0.0.0.0:7300'", "peers.advertise: nobody can reach"),
+        ("seeds: ['127.0.0.1:1', x]", "peers.seeds[1]: 'x'"),
+        ("mode: brave", "line 1"),
+        ("careful_ms: 5", "goes with mode: careful"),
+        ("mode: careful, careful_ms: 0", "peers.careful_ms: 0 is not within 1 and 600000"),
+        ("horizon_s: 1", "peers.horizon_s: 1 is not within 10"),
+        ("entries: 5", "peers.entries"),
+        ("about: 0", "peers.about"),
+        ("colour: red", "colour"),
+    ] {
+        let error = parse(&format!("peers: {{{PEERS}, {keys}}}\n")).expect_err(keys);
+        assert!(error.contains(says) && error.lines().count() == 1, "{keys:?}: {error}");
+    }
+    for (from, to, says) in [("name: a", "name: 'a b'", "peers.name"), ("fleet: toy, ", "", "fleet")] {
+        let error = parse(&format!("peers: {{{}}}\n", PEERS.replace(from, to))).expect_err(to);
+        assert!(error.contains(says), "{error}");
+    }
+}
+
 #[test]
 fn the_flat_form_of_earlier_versions_is_read_as_it_was() {
     let flat = r#"{"listen": "127.0.0.1:1", "metrics": "127.0.0.1:2", "keys": "k.json", "xds": "m.json"}"#;
@@ -73,9 +113,14 @@
 
     #[test]
     fn check_names_each_fault_and_ends_with_2() {
-        let good =
-            foxhold(&["check", "examples/config.json", "examples/foxhold.yaml", "deploy/foxhold.yaml"]);
-        assert_eq!((good.0, good.1.lines().count(), good.2.as_str()), (Some(0), 3, ""), "{good:?}");
+        let good = foxhold(&[
+            "check",
+            "examples/config.json",
+            "examples/foxhold.yaml",
+            "examples/peers.yaml",
+            "deploy/foxhold.yaml",
+        ]);
+        assert_eq!((good.0, good.1.lines().count(), good.2.as_str()), (Some(0), 4, ""), "{good:?}");
         let folder = std::env::temp_dir().join(format!("foxhold-check-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let file = |name: &str, text: &str| {
@@ -87,14 +132,17 @@
             file("config.json", &config),
             file("a.yaml", "log: {form: red}\n"),
             file("b.yaml", "signed: {listen: '127.0.0.1:1', keys: keys.json}\n"),
+            file("c.yaml", "peers: {listen: '127.0.0.1:1', name: a, fleet: toy, key: short.key}\n"),
+            file("short.key", "AAAA\n"),
             file("keys.json", "{"),
         ];
-        let bad = foxhold(&["check", &files[0], &files[1], &files[2], "/nowhere.yaml"]);
+        let bad = foxhold(&["check", &files[0], &files[1], &files[2], &files[3], "/nowhere.yaml"]);
         std::fs::remove_dir_all(&folder).expect("the folder");
         assert_eq!((bad.0, bad.1.as_str()), (Some(2), ""), "{bad:?}");
         let faults: Vec<&str> = bad.2.lines().collect();
-        assert_eq!(faults.len(), 4, "{faults:?}");
-        let says = ["sometimes", "line 1", "keys.json", "/nowhere.yaml"];
+        assert_eq!(faults.len(), 5, "{faults:?}");
+        let says =
+            ["sometimes", "line 1", "keys.json", "short.key: line 1: a key of 3 bytes", "/nowhere.yaml"];
         assert!(faults.iter().zip(says).all(|(fault, says)| fault.contains(says)), "{faults:?}");
     }
 
