Hold a purge for as long as a director may hear of it late, not only while servers heed it

The purge was told to one half while the other was cut off for 6 s; a director there had an old copy fetched again to a cache that had dropped its own. The module bounds copies' age for 9 s after a purge, by the time that servers need; past it the old copy was good again. Ruled out: directors that never heard of it (all held it). Lines at fault: Purge.until in src/decide.rs knows no late director, and need not on the platform.

Purges from the talk now say for how long they are kept, and the core bounds the age for that long (src/core/kept.rs). Purges that are older than servers can need are no event for the module: 100,000 of them held up a director for seconds. The storm's check no longer counts requests to a director that is stopped.

--- a/crates/foxhold-lab/src/harness.rs
+++ b/crates/foxhold-lab/src/harness.rs
@@ -634,6 +634,7 @@
                 let signal = if begins { Signal::STOP } else { Signal::CONT };
                 for name in &whom {
                     self.disturb(name);
+                    self.door(name, |door| door.stopped.set(begins));
                     if let Some(process) = self.parts[name].process.borrow_mut().as_mut() {
                         process.signal(signal);
                     }
--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -54,6 +54,9 @@
         daemon: PathBuf,
         #[command(flatten)]
         play: foxhold_lab::talk_play::Play,
+        /// In place of that: one director holds so many entries, another starts and catches up
+        #[arg(long)]
+        catch_up: Option<u32>,
         /// Where to write the figures, as JSON
         #[arg(long)]
         json: Option<PathBuf>,
@@ -156,10 +159,16 @@
             }
             Ok(played.breaches.is_empty())
         }
-        Command::Talk { daemon, play, json } => {
+        Command::Talk { daemon, play, catch_up, json } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            let played = tokio::task::LocalSet::new()
-                .block_on(&runtime, foxhold_lab::talk_play::play(&daemon, &play))?;
+            let local = tokio::task::LocalSet::new();
+            if let Some(entries) = catch_up {
+                let caught_up =
+                    local.block_on(&runtime, foxhold_lab::talk_play::catch_up(&daemon, entries))?;
+                println!("{}", serde_json::to_string_pretty(&caught_up)?);
+                return Ok(caught_up.entries >= u64::from(entries));
+            }
+            let played = local.block_on(&runtime, foxhold_lab::talk_play::play(&daemon, &play))?;
             let text = serde_json::to_string_pretty(&played)?;
             println!("{text}");
             if let Some(file) = json {
--- a/crates/foxhold-lab/src/talk.rs
+++ b/crates/foxhold-lab/src/talk.rs
@@ -261,6 +261,12 @@
                     break;
                 }
             }
+            // Its door opens just after.
+            let begun = Instant::now();
+            while TcpStream::connect(self.door(n)).await.is_err() && begun.elapsed() < Duration::from_secs(2)
+            {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
             self.processes[n] = Some(process);
             let log = self.logs[n].clone();
             tokio::task::spawn_local(async move {
@@ -328,6 +334,19 @@
         Some(line.split_whitespace().nth(1)?.parse::<f64>().ok()? / 1024.0)
     }
 
+    /// Where a director's clients come to, in its present run.
+    pub fn clients(&self, n: usize) -> Result<String, Failure> {
+        let logs = self.logs[n].borrow();
+        let line = logs.iter().rev().find_map(|(_, line)| line.split_once("clients on "));
+        Ok(line.ok_or("it has not started")?.1.to_owned())
+    }
+
+    /// The fleet's keys.
+    pub fn keys(&self) -> Result<Vec<Vec<u8>>, Failure> {
+        let text = std::fs::read_to_string(self.folder.0.join("peers.key"))?;
+        Ok(foxhold::peers::frame::parse_keys(&text)?)
+    }
+
     /// What a director has logged, in all its runs.
     pub fn log(&self, n: usize) -> String {
         self.logs[n].borrow().iter().map(|(_, line)| format!("{line}\n")).collect()
--- a/crates/foxhold-lab/src/talk_play.rs
+++ b/crates/foxhold-lab/src/talk_play.rs
@@ -2,10 +2,17 @@
 
 use crate::replay::Failure;
 use crate::talk::{Fleet, Setup, Way};
+use foxhold::peers::frame::{Body, Message, Seal};
+use foxhold::peers::members::Member;
+use foxhold::replica::talk::Say;
+use foxhold::replica::word::{Key, Word};
 use hdrhistogram::Histogram;
 use serde::Serialize;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// What is played.
@@ -75,6 +82,131 @@
     pub memory_mb: f64,
 }
 
+/// What catching up with many entries took.
+#[derive(Clone, Debug, Serialize)]
+pub struct CaughtUp {
+    /// Entries.
+    pub entries: u64,
+    /// Milliseconds from the start of the process until it had all.
+    pub ms: f64,
+    /// MB of the one that had them.
+    pub memory_mb: f64,
+    /// `GET /alive` at the director that catches up, one each millisecond: without entries to catch up with.
+    pub quiet: Times,
+    /// The same while it caught up.
+    pub meanwhile: Times,
+    /// The same at the director that it caught up from, meanwhile.
+    pub source: Times,
+}
+
+/// One director holds so many purges; another starts, catches up, and is asked meanwhile.
+pub async fn catch_up(director: &Path, entries: u32) -> Result<CaughtUp, Failure> {
+    let keys = format!("entries: {}", entries.max(1_000) * 2);
+    let mut fleet = Fleet::prepare(director, Setup { directors: 2, keys, ..Setup::default() }).await?;
+    fleet.start_some(&[0]).await?;
+    fleet.start_some(&[1]).await?;
+    let quiet = alive(fleet.clients(1)?, Duration::from_secs(2)).await?;
+    fleet.kill(1).await;
+    let held = |shown: serde_json::Value| shown["entries"]["purges"].as_u64().unwrap_or(0);
+    let mut friend = Friend::new(&fleet)?;
+    while held(fleet.shown(0).await?) < u64::from(entries) {
+        friend.purges(fleet.reached_at(0), 0..entries).await?;
+    }
+    // Nobody can catch up from one that is not sure itself that it has all.
+    while fleet.ask(0, "check").await? == "YES catching up\n" {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let begun = Instant::now();
+    fleet.start_some(&[1]).await?;
+    let (meanwhile, source) =
+        (alive(fleet.clients(1)?, Duration::from_secs(1)), alive(fleet.clients(0)?, Duration::from_secs(1)));
+    let meanwhile = tokio::task::spawn_local(meanwhile);
+    let source = tokio::task::spawn_local(source);
+    let mut took = Duration::ZERO;
+    while took.is_zero() {
+        if fleet.ask(1, "check").await? == "YES caught up\n" {
+            took = begun.elapsed();
+        }
+        if begun.elapsed() > Duration::from_secs(10) {
+            return Err(format!("not within 10 s: {}\n{}", fleet.shown(1).await?, fleet.log(1)).into());
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Ok(CaughtUp {
+        entries: held(fleet.shown(1).await?),
+        ms: took.as_secs_f64() * 1e3,
+        memory_mb: fleet.memory(0).unwrap_or(0.0),
+        quiet,
+        meanwhile: meanwhile.await??,
+        source: source.await??,
+    })
+}
+
+/// `GET /alive` at a director's front, one each millisecond, for so long.
+async fn alive(address: String, long: Duration) -> Result<Times, Failure> {
+    let mut stream = TcpStream::connect(&address).await?;
+    stream.set_nodelay(true)?;
+    let (mut all, begun) = (Histogram::<u64>::new(3)?, Instant::now());
+    let mut bytes = vec![0; 4096];
+    while begun.elapsed() < long {
+        let asked = Instant::now();
+        stream.write_all(b"GET /alive HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
+        if stream.read(&mut bytes).await? == 0 {
+            return Err("the director closed the connection".into());
+        }
+        all.record(asked.elapsed().as_micros() as u64)?;
+        sleep(Duration::from_millis(1)).await;
+    }
+    Ok(times(&all))
+}
+
+/// Someone with a fleet's key who tells directors of many purges.
+pub struct Friend {
+    socket: std::net::UdpSocket,
+    seal: Seal,
+    from: Member,
+    number: u64,
+}
+
+impl Friend {
+    /// Of this fleet.
+    pub fn new(fleet: &Fleet) -> Result<Friend, Failure> {
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
+        let from = Member::new("friend", socket.local_addr()?, 1);
+        let seal = Seal::new("lab", &fleet.keys()?).ok_or("no key")?;
+        Ok(Friend { socket, seal, from, number: 0 })
+    }
+
+    /// Seals a message as the next of this sender.
+    pub fn sealed(&mut self, say: Say) -> Result<Vec<u8>, Failure> {
+        self.number += 1;
+        let message = Message { from: self.from.clone(), run: 1, number: self.number, body: Body::Say(say) };
+        self.seal.seal(&message).ok_or_else(|| "a message is too large".into())
+    }
+
+    /// Sends bytes as they are.
+    pub fn send(&self, to: SocketAddr, datagram: &[u8]) -> Result<(), Failure> {
+        self.socket.send_to(datagram, to)?;
+        Ok(())
+    }
+
+    /// Tells of purges of groups, at a pace that a socket's buffer bears; some may be lost all the same.
+    pub async fn purges(&mut self, to: SocketAddr, groups: std::ops::Range<u32>) -> Result<(), Failure> {
+        // Of a minute ago, as most are that one who returns hears of.
+        let at = (crate::standin::unix_ms() - 60_000) * 1_000;
+        let groups: Vec<u32> = groups.collect();
+        for (n, some) in groups.chunks(80).enumerate() {
+            let words = some.iter().map(|g| (Key::Group(*g), Word::Purged(at))).collect();
+            let datagram = self.sealed(Say::Words(words))?;
+            self.send(to, &datagram)?;
+            if n % 2 == 0 {
+                sleep(Duration::from_millis(4)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
 fn times(all: &Histogram<u64>) -> Times {
     let ms = |us: u64| us as f64 / 1e3;
     Times {
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,6 +1,7 @@
 //! The actor: live requests, their attempts and timers, and the list, round the decision module.
 
 use super::cancel::{Ledger, Proof};
+use super::kept::Kept;
 use super::*;
 use crate::api::*;
 use crate::membership::Drains;
@@ -24,6 +25,8 @@
 const LONGEST_ALLOW: Duration = Duration::from_secs(24 * 3600);
 /// Requests that are held at a time. Fronts have fewer clients than that; middleware may have any number.
 const MOST_LIVE: usize = 4096;
+/// A purge this much older than twice the time that servers need to heed it is news to nobody.
+const PURGE_OVER: Micros = 20_000_000;
 /// A probe without an answer by then has failed.
 const PROBE_TIMEOUT: Micros = 250_000;
 
@@ -33,6 +36,8 @@
 /// A request that is held or whose attempts have not all ended.
 struct Live {
     ask: Ask,
+    /// The object's number.
+    object: u64,
     /// Gone once it is answered.
     reply: Option<oneshot::Sender<Answer>>,
     /// When the client gives up, less the way back.
@@ -105,6 +110,8 @@
     drains: Drains,
     /// No copy from before this Unix time is served.
     not_before: Option<Micros>,
+    /// Purges that hold for longer than the module remembers them.
+    kept: Kept,
     next_probe: u64,
     alarms: BinaryHeap<Reverse<(Micros, u64, Alarm)>>,
     alarm_count: u64,
@@ -150,6 +157,7 @@
         let_go: Ledger::default(),
         drains: Drains::default(),
         not_before: None,
+        kept: Kept::default(),
         next_probe: 0,
         alarms: BinaryHeap::new(),
         alarm_count: 0,
@@ -193,9 +201,16 @@
                 let _ = reply.send(self.figures()); // who has gone wants none
             }
             Message::NotBefore(at) => self.not_before = at,
-            Message::Purged { object, group, at } => {
+            Message::Purged { object, group, at, keep } => {
                 let age = self.clock.unix().saturating_sub(at);
                 let object = object.map(|o| ObjectId(object_number(&o)));
+                if keep > 0 {
+                    let (until, now) = (at.saturating_add(keep), self.clock.unix());
+                    self.kept.hold(object.map(|o| o.0), group, at, until, now);
+                }
+                if age > self.settings.purge_done.saturating_mul(2).saturating_add(PURGE_OVER) {
+                    return; // servers have long heeded it; who catches up hears of thousands
+                }
                 self.events.push_back(Event::Purged { object, group, age });
             }
         }
@@ -329,10 +344,11 @@
         let now = self.clock.now();
         let allow = ask.allow.min(LONGEST_ALLOW).as_micros() as Micros;
         let deadline = now + allow.saturating_sub((allow / WAY_BACK_SHARE).clamp(WAY_BACK.0, WAY_BACK.1));
+        let object = object_number(&ask.object);
         let request = Request {
             id: RequestId(number),
             class: ask.class,
-            object: ObjectId(object_number(&ask.object)),
+            object: ObjectId(object),
             part: ask.part.unwrap_or(0),
             group: ask.group,
             deadline,
@@ -355,7 +371,7 @@
         }
         let span = tracing::debug_span!("request", id = &*ask.id, class = &*self.classes[ask.class]);
         let (reply, failed) = (Some(reply), false);
-        let live = Live { ask, reply, deadline, attempts: 0, out: 0, may_have_run: 0, failed, span };
+        let live = Live { ask, object, reply, deadline, attempts: 0, out: 0, may_have_run: 0, failed, span };
         self.live.insert(number, live);
         if self.expired(number) {
             self.expire(number);
@@ -470,13 +486,14 @@
         if live.reply.is_none() {
             return self.finish(ticket, Outcome::NotSent, None);
         }
-        if let (Some(fill), Some(at)) = (fill.as_mut(), self.not_before) {
+        let unix = self.clock.unix();
+        let kept = self.kept.latest(live.object, live.ask.group, unix);
+        if let (Some(fill), Some(at)) = (fill.as_mut(), kept.max(self.not_before)) {
             // A join may give a copy that was fetched before.
-            let (age, fresh) =
-                (self.clock.unix().saturating_sub(at).max(1), self.settings.classes[live.ask.class].fresh);
+            let (age, fresh) = (unix.saturating_sub(at).max(1), self.settings.classes[live.ask.class].fresh);
             let limit = if fill.max_age > 0 { fill.max_age } else { fresh };
             fill.max_age = if limit > 0 { age.min(limit) } else { age };
-            fill.join = false;
+            fill.join &= age > limit && limit > 0;
         }
         let until = if timeout > 0 { now + timeout } else { live.deadline + AFTER_DEADLINE };
         let want = Want {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 pub mod cancel;
 mod clock;
+mod kept;
 
 pub use actor::{start, Running};
 pub use clock::Clock;
@@ -277,6 +278,9 @@
         group: u32,
         /// Unix time of the purge in microseconds.
         at: Micros,
+        /// It holds for so long after that, in microseconds, where directors may hear of it late; 0: for as long as
+        /// the settings say that servers need to heed it.
+        keep: Micros,
     },
 }
 
--- a/src/director/mod.rs
+++ b/src/director/mod.rs
@@ -200,7 +200,7 @@
     /// Tells of a purge of one object, or else of all of a group, made at this Unix time in microseconds.
     /// From 1 s after this call's return nothing is answered from an older copy.
     pub async fn purge(&self, object: Option<Arc<str>>, group: u32, at: Micros) -> Result<(), Stopped> {
-        self.tell(Message::Purged { object, group, at }).await
+        self.tell(Message::Purged { object, group, at, keep: 0 }).await
     }
 
     /// Has a server drain, whatever its source says, until another process runs under its name; returns
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -56,7 +56,7 @@
 /// Orders that wait for the actor; who finds it full waits.
 const MAILBOX: usize = 64;
 /// Datagrams taken one after the other before anything else is looked at.
-const IN_A_ROW: usize = 64;
+const IN_A_ROW: usize = 4;
 /// Senders whose numbers are remembered.
 const SENDERS: usize = 4096;
 
@@ -309,6 +309,8 @@
                         let Ok((size, _)) = self.socket.try_recv_from(&mut buffer) else { break };
                         self.datagram(&buffer[..size]);
                     }
+                    // Requests go first: thousands of entries may be on the way here.
+                    tokio::task::yield_now().await;
                 }
                 order = self.orders.recv() => match order {
                     Some(Order::Leave(done)) => return self.leave(done).await,
@@ -400,13 +402,14 @@
 
     /// Hands over what the core had no room for, and drains that it has not taken yet.
     fn feed_core(&mut self, at: Instant) {
+        let keep = self.me.purges_kept.as_micros() as Micros;
         while let Some(news) = self.for_core.front() {
             let message = match (&news.key, &news.word) {
                 (Key::Object(name), Word::Purged(when)) => {
-                    ToCore::Purged { object: Some(name.as_str().into()), group: 0, at: *when }
+                    ToCore::Purged { object: Some(name.as_str().into()), group: 0, at: *when, keep }
                 }
                 (Key::Group(group), Word::Purged(when)) => {
-                    ToCore::Purged { object: None, group: *group, at: *when }
+                    ToCore::Purged { object: None, group: *group, at: *when, keep }
                 }
                 (Key::Listed(name), Word::Listed(_, place)) => {
                     ToCore::Members { full: false, members: vec![place.listing(name)] }
@@ -647,7 +650,11 @@
     fn notice(&mut self, notice: &Notice) {
         let now = self.now();
         for (key, word) in hear(&mut self.talk.state, notice, now) {
-            // The core has it from the board itself; a drain in force may have to be told anew.
+            // The core has it from the board itself, but for how long a purge is kept here; a drain in force may have
+            // to be told anew.
+            if key.kind() == Kind::Purges {
+                self.for_core.push_back(News { key: key.clone(), word: word.clone() });
+            }
             if self.store.is_some() {
                 self.dirty.insert(key.clone());
             }
--- a/src/sources/board.rs
+++ b/src/sources/board.rs
@@ -116,7 +116,7 @@
             News::Members { .. } if purges_only => None,
             News::Members { full, members } => Some(Message::Members { full, members }),
             News::Purge { object, group, ms } => {
-                Some(Message::Purged { object: object.map(Into::into), group, at: micros(ms) })
+                Some(Message::Purged { object: object.map(Into::into), group, at: micros(ms), keep: 0 })
             }
             News::Other => None,
         }
