--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -54,6 +54,9 @@
         daemon: PathBuf,
         #[command(flatten)]
         play: foxhold_lab::talk_play::Play,
+        /// In place of that: one director holds so many entries, another starts and catches up
+        #[arg(long)]
+        catch_up: Option<u32>,
         /// Where to write the figures, as JSON
         #[arg(long)]
         json: Option<PathBuf>,
@@ -62,6 +65,9 @@
     Fleet {
         /// The plan; without one a calm play
         file: Option<PathBuf>,
+        /// In place of a plan: faults drawn by the seed among directors that talk, 20 for 120 s unless told otherwise
+        #[arg(long, conflicts_with = "file")]
+        storm: bool,
         /// The director's program
         #[arg(long, default_value = "target/release/foxhold")]
         daemon: PathBuf,
@@ -127,8 +133,12 @@
             foxhold_lab::standin::process(serde_json::from_str(&start)?)?;
             Ok(true)
         }
-        Command::Fleet { file, daemon, directors, seed, seconds, json, html } => {
+        Command::Fleet { file, storm, daemon, directors, seed, seconds, json, html } => {
             let mut plan = match file {
+                _ if storm => {
+                    let (directors, seconds) = (directors.unwrap_or(20), seconds.unwrap_or(120.0));
+                    foxhold_lab::storm::draw(directors, seconds, seed.unwrap_or(1))
+                }
                 Some(file) => {
                     let text =
                         std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -149,10 +159,16 @@
             }
             Ok(played.breaches.is_empty())
         }
-        Command::Talk { daemon, play, json } => {
+        Command::Talk { daemon, play, catch_up, json } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            let played = tokio::task::LocalSet::new()
-                .block_on(&runtime, foxhold_lab::talk_play::play(&daemon, &play))?;
+            let local = tokio::task::LocalSet::new();
+            if let Some(entries) = catch_up {
+                let caught_up =
+                    local.block_on(&runtime, foxhold_lab::talk_play::catch_up(&daemon, entries))?;
+                println!("{}", serde_json::to_string_pretty(&caught_up)?);
+                return Ok(caught_up.entries >= u64::from(entries));
+            }
+            let played = local.block_on(&runtime, foxhold_lab::talk_play::play(&daemon, &play))?;
             let text = serde_json::to_string_pretty(&played)?;
             println!("{text}");
             if let Some(file) = json {
