--- a/crates/foxhold-lab/src/talk.rs
+++ b/crates/foxhold-lab/src/talk.rs
@@ -94,13 +94,15 @@
     pub keys: String,
     /// Each keeps its state in a folder of its own.
     pub lasting: bool,
+    /// No file of the directors may grow over so many KB, as if their disk were full.
+    pub disk_kb: Option<u32>,
     /// Seed of losses and delays.
     pub seed: u64,
 }
 
 impl Default for Setup {
     fn default() -> Setup {
-        Setup { directors: 5, keys: String::new(), lasting: false, seed: 1 }
+        Setup { directors: 5, keys: String::new(), lasting: false, disk_kb: None, seed: 1 }
     }
 }
 
@@ -295,7 +297,16 @@
         let operator = self.relays.operator(n, &keys.join(", "));
         let file = folder.join(format!("operator-{n}.yaml"));
         std::fs::write(&file, operator)?;
-        let mut command = Command::new(&self.director);
+        let mut command = match self.setup.disk_kb {
+            None => Command::new(&self.director),
+            Some(kb) => {
+                // The shell's blocks are of 512 bytes; the signal that comes with a file's limit is let be.
+                let mut shell = Command::new("sh");
+                let words = format!("trap '' XFSZ; ulimit -f {}; exec \"$0\"", 2 * kb);
+                shell.arg("-c").arg(words).arg(&self.director);
+                shell
+            }
+        };
         command.env("ROUTER_CONFIG", &config).env("FOXHOLD_FRONT", &file).env_remove("FOXHOLD_LOG");
         command.current_dir(folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.kill_on_drop(true).spawn()?;
@@ -303,6 +314,11 @@
         Ok((Process::new(child), lines))
     }
 
+    /// From the next start on files may grow.
+    pub fn disk_has_room(&mut self) {
+        self.setup.disk_kb = None;
+    }
+
     /// Kills a director (SIGKILL).
     pub async fn kill(&mut self, n: usize) {
         if let Some(mut process) = self.processes[n].take() {
--- a/crates/foxhold-lab/tests/talk.rs
+++ b/crates/foxhold-lab/tests/talk.rs
@@ -20,7 +20,7 @@
 }
 
 async fn fleet(directors: usize, keys: &str, lasting: bool) -> Fleet {
-    let setup = Setup { directors, keys: keys.into(), lasting, seed: 7 };
+    let setup = Setup { directors, keys: keys.into(), lasting, seed: 7, ..Setup::default() };
     let fleet = Fleet::start(&common::daemon(), setup).await.expect("a fleet");
     fleet.joined(&all(&fleet), directors - 1, s(20)).await.expect("they meet");
     fleet
@@ -318,6 +318,40 @@
     });
 }
 
+#[test]
+fn a_full_disk_stops_writing_is_counted_and_never_stops_serving_and_leaves_sound_data() {
+    local(async {
+        let setup = Setup { directors: 3, lasting: true, disk_kb: Some(1_600), ..Setup::default() };
+        let mut fleet = Fleet::start(&common::daemon(), setup).await.expect("a fleet");
+        fleet.joined(&all(&fleet), 2, s(20)).await.expect("they meet");
+        told(&fleet, 1, "drain cache-1").await;
+        sleep(Duration::from_millis(600)).await;
+        assert!(count(&fleet, 0, &["counts", "disk_written"]).await > 0, "it was written at first");
+        let mut friend = Friend::new(&fleet).expect("a friend");
+        friend.purges(fleet.reached_at(0), 0..40_000).await.expect("loopback");
+        let begun = std::time::Instant::now();
+        while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
+            assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("a door"));
+            sleep(Duration::from_millis(50)).await;
+        }
+        // It goes on: a word told there is with all.
+        told(&fleet, 0, "drain cache-2").await;
+        fleet.until(&all(&fleet), "drains", s(2), |s| has(s, "cache-2 drains")).await.expect("it talks");
+        assert!(fleet.log(0).contains("the state can't be written"), "{}", fleet.log(0));
+        // What is on the disk is sound: the state of some earlier moment.
+        fleet.disk_has_room();
+        fleet.kill(0).await;
+        fleet.start_some(&[0]).await.expect("it starts");
+        let log = fleet.log(0);
+        assert!(!log.contains("put aside") && log.contains("entries taken from the disk"), "{log}");
+        fleet
+            .until(&[0], "drains", s(5), |s| has(s, "cache-1 drains") && has(s, "cache-2 drains"))
+            .await
+            .expect("all");
+        assert_eq!(count(&fleet, 0, &["counts", "disk_failed"]).await, 0);
+    });
+}
+
 #[test]
 fn what_is_foreign_changes_nothing_is_counted_and_costs_bounded_memory() {
     local(async {
