--- a/src/core/kept.rs
+++ b/src/core/kept.rs
@@ -1,8 +1,8 @@
 //! Purges that hold for longer than the module remembers them.
 //!
-//! The module bounds the age of copies for as long as servers take to heed a purge. Where directors tell each other of
-//! purges, one that was cut off hears late, and until then it may have had an old copy fetched to a server that had
-//! dropped it: so the age stays bounded for as long as any director may hear late.
+//! The module bounds the age of copies for as long as servers take to heed a purge. Where directors tell each
+//! other of purges, one that was cut off hears late, and until then it may have had an old copy fetched to a
+//! server that had dropped it: so the age stays bounded for as long as any director may hear late.
 
 use crate::api::Micros;
 use std::collections::HashMap;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -278,8 +278,8 @@
         group: u32,
         /// Unix time of the purge in microseconds.
         at: Micros,
-        /// It holds for so long after that, in microseconds, where directors may hear of it late; 0: for as long as
-        /// the settings say that servers need to heed it.
+        /// It holds for so long after that, in microseconds, where directors may hear of it late; 0: for as
+        /// long as the settings say that servers need to heed it.
         keep: Micros,
     },
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -37,7 +37,13 @@
     Serve,
     /// Show who of the other directors is there, and how far each is behind
     #[cfg(feature = "peers")]
-    Peers(Door),
+    Peers {
+        #[command(flatten)]
+        door: Door,
+        /// As the door gives it, in JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Show the replicated state
     #[cfg(feature = "peers")]
     State {
@@ -101,6 +107,19 @@
 
 #[cfg(feature = "peers")]
 impl Door {
+    /// Shows the others, as a table or as they come.
+    fn peers(&self, json: bool) -> ExitCode {
+        let shown = self.answer("peers").map(|answer| answer.lines().next().unwrap_or_default().to_owned());
+        let table = shown.as_deref().map(miniserde::json::from_str::<foxhold::peers::Shown>);
+        match table {
+            Ok(Ok(shown)) if !json => {
+                print!("{shown}");
+                ExitCode::SUCCESS
+            }
+            _ => self.ask("peers"),
+        }
+    }
+
     /// Asks one line and prints the answer: 0 where it is no refusal, 2 where nobody answers.
     fn ask(&self, line: &str) -> ExitCode {
         match self.answer(line) {
@@ -139,7 +158,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         #[cfg(feature = "peers")]
-        Some(Command::Peers(door)) => door.ask("peers"),
+        Some(Command::Peers { door, json }) => door.peers(json),
         #[cfg(feature = "peers")]
         Some(Command::State { what: StateCommand::Show { kind, door } }) => {
             door.ask(&format!("state {kind}"))
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -23,7 +23,7 @@
 use foca::Timer;
 use frame::{Body, Foreign, Message, Seal};
 use members::{Due, Member, Members};
-use miniserde::Serialize;
+use miniserde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -90,30 +90,67 @@
     }
 }
 
-/// What an operator is shown.
-#[derive(Serialize)]
-struct Shown {
-    name: String,
-    address: String,
-    incarnation: u64,
-    stage: String,
-    entries: BTreeMap<String, u64>,
-    bytes: u64,
-    peers: Vec<ShownPeer>,
-    gone: Vec<String>,
-    twins: Vec<String>,
-    counts: BTreeMap<String, u64>,
-    turned_down: BTreeMap<String, u64>,
+/// What an operator is shown: the answer to `peers` at the door, as JSON.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Shown {
+    /// This director.
+    pub name: String,
+    /// Where others reach it.
+    pub address: String,
+    /// Grows with each start and each return from the dead.
+    pub incarnation: u64,
+    /// How far it has come.
+    pub stage: String,
+    /// Entries by kind.
+    pub entries: BTreeMap<String, u64>,
+    /// Bytes of entries, as their bound counts them.
+    pub bytes: u64,
+    /// The others that are there, by name.
+    pub peers: Vec<ShownPeer>,
+    /// Those that are dead or have left.
+    pub gone: Vec<String>,
+    /// Names that two or more have.
+    pub twins: Vec<String>,
+    /// What was counted since the start.
+    pub counts: BTreeMap<String, u64>,
+    /// What was turned down, by cause.
+    pub turned_down: BTreeMap<String, u64>,
 }
 
-#[derive(Serialize)]
-struct ShownPeer {
-    name: String,
-    address: String,
+/// One of the others.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ShownPeer {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: String,
     /// Milliseconds since it last said anything; none: never in this run.
-    heard_ms: Option<u64>,
-    /// Milliseconds since its digest was last the same as ours.
-    alike_ms: Option<u64>,
+    pub heard_ms: Option<u64>,
+    /// Milliseconds since its digest was last the same as ours; none: never met.
+    pub alike_ms: Option<u64>,
+}
+
+impl std::fmt::Display for Shown {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let entries: Vec<String> = self.entries.iter().map(|(kind, n)| format!("{n} {kind}")).collect();
+        writeln!(f, "{} at {}, {}: {}", self.name, self.address, self.stage, entries.join(", "))?;
+        let ms = |ms: Option<u64>| ms.map_or("-".to_owned(), |ms| ms.to_string());
+        writeln!(f, "{:<24} {:<24} {:>10} {:>10}", "peer", "address", "heard, ms", "alike, ms")?;
+        for peer in &self.peers {
+            let (heard, alike) = (ms(peer.heard_ms), ms(peer.alike_ms));
+            writeln!(f, "{:<24} {:<24} {heard:>10} {alike:>10}", peer.name, peer.address)?;
+        }
+        for (what, lines) in [("gone", &self.gone), ("one name", &self.twins)] {
+            lines.iter().try_for_each(|line| writeln!(f, "{what}: {line}"))?;
+        }
+        let counted = |f: &mut std::fmt::Formatter<'_>, what: &str, counts: &BTreeMap<String, u64>| {
+            let some: Vec<String> =
+                counts.iter().filter(|(_, n)| **n > 0).map(|(name, n)| format!("{name} {n}")).collect();
+            writeln!(f, "{what}: {}", if some.is_empty() { "none".into() } else { some.join(", ") })
+        };
+        counted(f, "counted", &self.counts)?;
+        counted(f, "turned down", &self.turned_down)
+    }
 }
 
 /// The actor before it runs.
@@ -650,8 +687,8 @@
     fn notice(&mut self, notice: &Notice) {
         let now = self.now();
         for (key, word) in hear(&mut self.talk.state, notice, now) {
-            // The core has it from the board itself, but for how long a purge is kept here; a drain in force may have
-            // to be told anew.
+            // The core has it from the board itself, but for how long a purge is kept here; a drain in force
+            // may have to be told anew.
             if key.kind() == Kind::Purges {
                 self.for_core.push_back(News { key: key.clone(), word: word.clone() });
             }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -146,6 +146,40 @@
         assert!(faults.iter().zip(says).all(|(fault, says)| fault.contains(says)), "{faults:?}");
     }
 
+    /// A door that answers one call, and what the program makes of it.
+    #[cfg(feature = "peers")]
+    #[test]
+    fn peers_are_shown_as_a_table_and_a_door_that_is_shut_is_named() {
+        use std::io::{BufRead, BufReader, Write};
+        let shown = r#"{"name":"a","address":"127.0.0.1:1","incarnation":1,"stage":"caught up","bytes":9,
+            "entries":{"purges":3},"gone":["c at x"],
+            "peers":[{"name":"b","address":"127.0.0.1:2","heard_ms":12,"alike_ms":null}],
+            "twins":[],"counts":{"taken":3,"known":0},"turned_down":{"seal":2}}"#
+            .replace('\n', "");
+        let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = door.local_addr().expect("an address").to_string();
+        let answer = std::thread::spawn(move || {
+            let (mut stream, _) = door.accept().expect("a caller");
+            let mut call = String::new();
+            BufReader::new(&stream).read_line(&mut call).expect("a call");
+            stream.write_all(format!("{shown}\nEND\n").as_bytes()).expect("a reader");
+            call
+        });
+        let (code, text, error) = foxhold(&["peers", "--door", &address]);
+        assert_eq!((code, answer.join().expect("a call").as_str()), (Some(0), "peers\n"), "{error}");
+        for says in
+            ["a at 127.0.0.1:1, caught up: 3 purges", "gone: c at x", "counted: taken 3", "down: seal 2"]
+        {
+            assert!(text.contains(says), "{text}");
+        }
+        assert!(
+            text.lines().any(|l| l.starts_with("b ") && l.contains(" 12 ") && l.ends_with('-')),
+            "{text}"
+        );
+        let (code, _, error) = foxhold(&["drain", "cache-1", "--door", &address]);
+        assert!(code == Some(2) && error.contains(&format!("the door at {address}")), "{error}");
+    }
+
     #[test]
     fn help_and_version_need_no_configuration() {
         assert!(foxhold(&["--help"]).1.contains("ROUTER_CONFIG"));
