--- a/crates/foxhold-lab/src/talk_play.rs
+++ b/crates/foxhold-lab/src/talk_play.rs
@@ -107,11 +107,7 @@
     fleet.start_some(&[1]).await?;
     let quiet = alive(fleet.clients(1)?, Duration::from_secs(2)).await?;
     fleet.kill(1).await;
-    let held = |shown: serde_json::Value| shown["entries"]["purges"].as_u64().unwrap_or(0);
-    let mut friend = Friend::new(&fleet)?;
-    while held(fleet.shown(0).await?) < u64::from(entries) {
-        friend.purges(fleet.reached_at(0), 0..entries).await?;
-    }
+    Friend::new(&fleet)?.fill(&fleet, 0, entries).await?;
     // Nobody can catch up from one that is not sure itself that it has all.
     while fleet.ask(0, "check").await? == "YES catching up\n" {
         sleep(Duration::from_millis(50)).await;
@@ -133,7 +129,7 @@
         sleep(Duration::from_millis(5)).await;
     }
     Ok(CaughtUp {
-        entries: held(fleet.shown(1).await?),
+        entries: purges_held(&fleet, 1).await?,
         ms: took.as_secs_f64() * 1e3,
         memory_mb: fleet.memory(0).unwrap_or(0.0),
         quiet,
@@ -160,6 +156,10 @@
     Ok(times(&all))
 }
 
+async fn purges_held(fleet: &Fleet, n: usize) -> Result<u64, Failure> {
+    Ok(fleet.shown(n).await?["entries"]["purges"].as_u64().unwrap_or(0))
+}
+
 /// Someone with a fleet's key who tells directors of many purges.
 pub struct Friend {
     socket: std::net::UdpSocket,
@@ -190,6 +190,18 @@
         Ok(())
     }
 
+    /// Tells a director of so many purges, again and again until it holds them all.
+    pub async fn fill(&mut self, fleet: &Fleet, n: usize, entries: u32) -> Result<(), Failure> {
+        for _ in 0..20 {
+            self.purges(fleet.reached_at(n), 0..entries).await?;
+            sleep(Duration::from_millis(200)).await;
+            if purges_held(fleet, n).await? >= u64::from(entries) {
+                return Ok(());
+            }
+        }
+        Err(format!("director {n} holds {} of {entries}", purges_held(fleet, n).await?).into())
+    }
+
     /// Tells of purges of groups, at a pace that a socket's buffer bears; some may be lost all the same.
     pub async fn purges(&mut self, to: SocketAddr, groups: std::ops::Range<u32>) -> Result<(), Failure> {
         // Of a minute ago, as most are that one who returns hears of.
--- a/crates/foxhold-lab/tests/talk.rs
+++ b/crates/foxhold-lab/tests/talk.rs
@@ -285,16 +285,14 @@
 fn one_that_is_killed_in_the_midst_of_catching_up_and_one_whose_source_is_killed_end_with_all() {
     local(async {
         let mut fleet = fleet(5, "", false).await;
-        let mut friend = Friend::new(&fleet).expect("a friend");
-        let to = fleet.reached_at(0);
-        friend.purges(to, 0..20_000).await.expect("loopback");
+        Friend::new(&fleet).expect("a friend").fill(&fleet, 0, 20_000).await.expect("it takes them");
         let begun = std::time::Instant::now();
         loop {
             let mut held = Vec::new();
             for n in all(&fleet) {
                 held.push(count(&fleet, n, &["entries", "purges"]).await);
             }
-            if held[0] >= 19_000 && held.iter().all(|n| *n == held[0]) {
+            if held[0] == 20_000 && held.iter().all(|n| *n == held[0]) {
                 break;
             }
             assert!(begun.elapsed() < s(60), "digests bring them: {held:?}");
@@ -327,8 +325,7 @@
         told(&fleet, 1, "drain cache-1").await;
         sleep(Duration::from_millis(600)).await;
         assert!(count(&fleet, 0, &["counts", "disk_written"]).await > 0, "it was written at first");
-        let mut friend = Friend::new(&fleet).expect("a friend");
-        friend.purges(fleet.reached_at(0), 0..40_000).await.expect("loopback");
+        Friend::new(&fleet).expect("a friend").fill(&fleet, 0, 40_000).await.expect("it takes them");
         let begun = std::time::Instant::now();
         while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
             assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("a door"));
@@ -381,8 +378,10 @@
         }
         assert_eq!(fleet.state(0, "drains").await, Some(before.clone()));
         // Entries without end, from one with the key: bounded, counted, and drains stay.
-        friend.purges(to, 10..20_000).await.expect("loopback");
-        sleep(s(2)).await;
+        while count(&fleet, 0, &["turned_down", "entry_full"]).await < 10_000 {
+            friend.purges(to, 10..20_000).await.expect("loopback");
+        }
+        sleep(s(1)).await;
         for n in all(&fleet) {
             let shown = fleet.shown(n).await.expect("a door");
             let entries: u64 =
@@ -390,7 +389,6 @@
             assert!(entries <= 1_000, "director {n}: {shown}");
             assert_eq!(fleet.state(n, "drains").await, Some(before.clone()));
         }
-        assert!(count(&fleet, 0, &["turned_down", "entry_full"]).await > 10_000);
         assert!(fleet.memory(0).expect("running") < 64.0);
     });
 }
--- a/src/peers/door.rs
+++ b/src/peers/door.rs
@@ -4,11 +4,11 @@
 //! | --- | --- |
 //! | `peers` | what is known of the others, as one line of JSON, then `END` |
 //! | `state KIND` | all entries of `purges`, `drains` or `members`, a line each, then `END` |
-//! | `drain NAME`, `undrain NAME` | `YES`, or `YES no news` where that was so already |
+//! | `drain NAME`, `undrain NAME` | `YES`, `YES no news` where that was so already, or `NO` and why |
 //! | `purge object NAME`, `purge group NUMBER` | the same: no director serves copies older than now |
 
 use super::{Order, Peers};
-use crate::replica::state::LONGEST_NAME;
+use crate::replica::state::{Refused, LONGEST_NAME};
 use crate::replica::word::{Key, Kind};
 
 const ENDED: &str = "NO the talk among directors has ended\n";
@@ -43,8 +43,10 @@
         _ => return None,
     };
     Some(match told {
-        Some(true) => "YES\n".into(),
-        Some(false) => "YES no news\n".into(),
+        Some(Ok(true)) => "YES\n".into(),
+        Some(Ok(false)) => "YES no news\n".into(),
+        Some(Err(Refused::Full)) => "NO there is no room for it: peers.entries is too small\n".into(),
+        Some(Err(_)) => "NO it can't be held: its name is too long, or the clock is wrong\n".into(),
         None => ENDED.into(),
     })
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -15,7 +15,7 @@
 use crate::core::{Clock, Message as ToCore, Reports};
 use crate::operator::PeersSection;
 use crate::replica::fresh::Fresh;
-use crate::replica::state::{Bounds, Now, State};
+use crate::replica::state::{Bounds, Now, Refused, State};
 use crate::replica::talk::{News, Say, Stage, Talk};
 use crate::replica::word::{Key, Kind, Run, Word};
 use crate::settings::micros;
@@ -63,10 +63,11 @@
 /// What the actor is told by this process.
 #[derive(Debug)]
 pub enum Order {
-    /// An operator's word: this server drains, or no longer does. Replies whether that was news.
-    Drain(String, bool, oneshot::Sender<bool>),
+    /// An operator's word: this server drains, or no longer does. Replies whether that was news, or why it
+    /// can't be held.
+    Drain(String, bool, oneshot::Sender<Result<bool, Refused>>),
     /// An operator's purge, of now.
-    Purge(Key, oneshot::Sender<bool>),
+    Purge(Key, oneshot::Sender<Result<bool, Refused>>),
     /// Asks for what is known of the peers.
     Show(oneshot::Sender<String>),
     /// Asks for all entries of a kind, a line each.
@@ -313,7 +314,7 @@
         BoardNews::Members { full, members } => state.listed(notice.rev, *full, members, now),
         BoardNews::Purge { object, group, ms } => {
             let key = object.clone().map_or(Key::Group(*group), Key::Object);
-            state.purge(key, micros(*ms), now).into_iter().collect()
+            state.purge(key, micros(*ms), now).ok().flatten().into_iter().collect()
         }
         BoardNews::Other => Vec::new(),
     }
@@ -709,13 +710,14 @@
         match order {
             Order::Drain(name, on, reply) => {
                 let change = self.talk.state.drain(&name, on, now);
-                let _ = reply.send(change.is_some()); // who asked may have gone, here and below
-                self.told(change);
+                // Who asked may have gone, here and below.
+                let _ = reply.send(change.as_ref().map(Option::is_some).map_err(|cause| *cause));
+                self.told(change.ok().flatten());
             }
             Order::Purge(key, reply) => {
                 let change = self.talk.state.purge(key, now.unix, now);
-                let _ = reply.send(change.is_some());
-                self.told(change);
+                let _ = reply.send(change.as_ref().map(Option::is_some).map_err(|cause| *cause));
+                self.told(change.ok().flatten());
             }
             Order::Show(reply) => drop(reply.send(self.show(now))),
             Order::List(kind, reply) => drop(reply.send(self.list(kind))),
--- a/src/replica/state.rs
+++ b/src/replica/state.rs
@@ -24,6 +24,8 @@
 pub const LONGEST_NAME: usize = 512;
 /// Clocks of directors may differ by so much: a purge from further ahead is turned down.
 pub const CLOCKS_DIFFER: Micros = 60_000_000;
+/// Runs that have told of drains of one process of a server: with more an entry would not fit a message.
+const MOST_RUNS: usize = 256;
 /// What an entry costs beside its bytes: its place in the map, its time and sums.
 const OVERHEAD: usize = 96;
 
@@ -116,12 +118,12 @@
     // ---- what this director is told itself ----
 
     /// A purge told here. None: nothing new.
-    pub fn purge(&mut self, key: Key, at: Micros, now: Now) -> Option<(Key, Word)> {
+    pub fn purge(&mut self, key: Key, at: Micros, now: Now) -> Result<Option<(Key, Word)>, Refused> {
         self.put(key, Word::Purged(at), now)
     }
 
     /// An operator's word told here: a server, by the process of it that is listed, drains or no longer does.
-    pub fn drain(&mut self, name: &str, on: bool, now: Now) -> Option<(Key, Word)> {
+    pub fn drain(&mut self, name: &str, on: bool, now: Now) -> Result<Option<(Key, Word)>, Refused> {
         let since = match self.get(&Key::Listed(name.into())) {
             Some(Word::Listed(_, place)) => place.since,
             _ => 0,
@@ -153,15 +155,14 @@
             });
             news.extend(missing.collect::<Vec<_>>());
         }
-        news.into_iter().filter_map(|(key, word)| self.put(key, word, now)).collect()
+        // What finds no room is counted by who asks; the core has it from the source itself.
+        news.into_iter().filter_map(|(key, word)| self.put(key, word, now).ok().flatten()).collect()
     }
 
-    fn put(&mut self, key: Key, word: Word, now: Now) -> Option<(Key, Word)> {
-        // Its own bounds hold for a director's own words as well; it acts on them whatever is replicated.
-        match self.merge(&key, &word, now) {
-            Ok(Merged::Changed | Merged::Differs { changed: true }) => Some((key, word)),
-            _ => None,
-        }
+    fn put(&mut self, key: Key, word: Word, now: Now) -> Result<Option<(Key, Word)>, Refused> {
+        let merged = self.merge(&key, &word, now)?;
+        let news = matches!(merged, Merged::Changed | Merged::Differs { changed: true });
+        Ok(news.then_some((key, word)))
     }
 
     // ---- copies ----
@@ -177,6 +178,9 @@
         };
         let mut merged = entry.word.clone();
         let what = merged.merge(word);
+        if matches!(&merged, Word::Drain(words) if words.told.len().max(words.undone.len()) > MOST_RUNS) {
+            return Err(Refused::Full);
+        }
         if matches!(what, Merged::Changed | Merged::Differs { changed: true }) {
             self.insert(at, merged, now);
         }
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -141,25 +141,25 @@
     let (mut a, mut b) = (state(1), state(2));
     a.listed(1, true, &[listing("x", MemberState::Running, 0)], at(1));
     b.listed(1, true, &[listing("x", MemberState::Running, 0)], at(1));
-    let (key, word) = a.drain("x", true, at(2)).expect("news");
+    let (key, word) = a.drain("x", true, at(2)).expect("room").expect("news");
     b.merge(&key, &word, at(2)).expect("taken");
     let drains = |s: &State| matches!(s.get(&Key::Drain("x".into())), Some(Word::Drain(w)) if w.drains());
     // At once: an undrain on one side, a drain on the other.
-    let (_, undone) = a.drain("x", false, at(3)).expect("news");
-    let (_, again) = b.drain("x", true, at(3)).expect("news");
+    let (_, undone) = a.drain("x", false, at(3)).expect("room").expect("news");
+    let (_, again) = b.drain("x", true, at(3)).expect("room").expect("news");
     assert!(!drains(&a) && drains(&b));
     a.merge(&key, &again, at(4)).expect("taken");
     b.merge(&key, &undone, at(4)).expect("taken");
     assert!(drains(&a) && drains(&b), "in doubt it drains");
-    let (_, undone) = b.drain("x", false, at(5)).expect("news");
+    let (_, undone) = b.drain("x", false, at(5)).expect("room").expect("news");
     a.merge(&key, &undone, at(5)).expect("taken");
     a.merge(&key, &word, at(5)).expect("taken");
     assert!(!drains(&a) && !drains(&b), "the old word does not come back");
     // Another process runs there: words about the one before are void.
-    let (_, word) = a.drain("x", true, at(6)).expect("news");
+    let (_, word) = a.drain("x", true, at(6)).expect("room").expect("news");
     b.merge(&key, &word, at(6)).expect("taken");
     b.listed(2, false, &[listing("x", MemberState::Running, UNIX)], at(7));
-    let (_, later) = b.drain("x", false, at(8)).expect("news");
+    let (_, later) = b.drain("x", false, at(8)).expect("room").expect("news");
     a.merge(&key, &later, at(8)).expect("taken");
     assert!(!drains(&a) && !drains(&b));
     assert_eq!(a.merge(&key, &word, at(9)), Ok(Merged::Same), "it names the process before");
@@ -215,7 +215,7 @@
 #[test]
 fn a_purge_ends_by_its_own_time_and_does_not_come_back() {
     let (mut a, mut b) = (state(1), state(2));
-    let (key, word) = a.purge(object("x"), UNIX, at(0)).expect("news");
+    let (key, word) = a.purge(object("x"), UNIX, at(0)).expect("room").expect("news");
     b.merge(&key, &word, at(0)).expect("taken");
     assert!(a.expire(at(600)).is_empty(), "still kept");
     assert_eq!(a.expire(at(601)), vec![key.clone()]);
@@ -230,9 +230,9 @@
     let (mut here, mut away) = (state(1), state(2));
     for state in [&mut here, &mut away] {
         state.listed(1, true, &[listing("x", MemberState::Running, 0)], at(1));
-        state.purge(object("o"), UNIX + 1_000 * SECOND, at(1_000));
+        state.purge(object("o"), UNIX + 1_000 * SECOND, at(1_000)).expect("room");
     }
-    here.drain("x", true, at(1));
+    here.drain("x", true, at(1)).expect("room");
     here.listed(2, false, &[listing("x", MemberState::Gone, 0)], at(2));
     assert!(here.expire(at(602)).is_empty());
     let ended = here.expire(at(1_210));
@@ -262,12 +262,24 @@
     assert!(state.bytes() <= Bounds::default().bytes && state.len() == 10);
 }
 
+#[test]
+fn words_of_ever_more_runs_find_an_end_and_what_finds_no_room_is_not_called_news() {
+    let mut state = State::new(Run(1), Bounds { entries: 1, ..Bounds::default() });
+    let words = |run: u64| Word::Drain(Words { told: BTreeMap::from([(Run(run), 1)]), ..Words::default() });
+    let key = Key::Drain("x".into());
+    let refused = (0..1_000).filter(|run| state.merge(&key, &words(*run), at(1)).is_err()).count();
+    assert_eq!(refused, 1_000 - 256);
+    assert!(bytes(&(&key, state.get(&key))).len() < 8_000, "it fits a message");
+    assert_eq!(state.purge(object("y"), UNIX, at(1)), Err(Refused::Full));
+    assert_eq!(state.drain("y", true, at(1)), Err(Refused::Full));
+}
+
 #[test]
 fn a_digest_has_no_trace_of_what_was_let_go() {
     let mut state = state(1);
     for n in 0..500u32 {
-        state.purge(Key::Group(n), UNIX + u64::from(n), at(1));
-        state.purge(Key::Group(n), UNIX + u64::from(n) + 1, at(1));
+        state.purge(Key::Group(n), UNIX + u64::from(n), at(1)).expect("room");
+        state.purge(Key::Group(n), UNIX + u64::from(n) + 1, at(1)).expect("room");
     }
     assert_ne!(state.digest().sum(Node::ROOT), 0);
     state.expire(at(5_000));
@@ -419,11 +431,11 @@
             let change = match what {
                 x if x < 0.4 => {
                     let (group, unix) = ((sim.unit() * 20.0) as u32, sim.now().unix);
-                    sim.tell(n, |s, now| s.purge(Key::Group(group), unix, now))
+                    sim.tell(n, |s, now| s.purge(Key::Group(group), unix, now).ok().flatten())
                 }
                 x if x < 0.8 => {
                     let (on, name) = (sim.unit() < 0.5, server(step));
-                    sim.tell(n, |s, now| s.drain(&name, on, now))
+                    sim.tell(n, |s, now| s.drain(&name, on, now).ok().flatten())
                 }
                 x if x < 0.9 => {
                     // The board's event is heard by some directors only.
@@ -469,7 +481,7 @@
 fn one_that_starts_from_nothing_catches_up_and_goes_on_with_another_when_its_source_dies() {
     let mut sim = Sim::new(4, 5);
     for n in 0..3_000u32 {
-        sim.tell(0, |s, now| s.purge(Key::Group(n), now.unix, now));
+        sim.tell(0, |s, now| s.purge(Key::Group(n), now.unix, now).ok().flatten());
     }
     sim.run(30.0);
     assert!(sim.alike(), "by digests, for so many rumours find no room");
@@ -490,7 +502,7 @@
     let mut sim = Sim::new(5, 9);
     sim.run(4.0);
     assert!(sim.nodes.iter().flatten().all(|n| n.stage() != Stage::CatchingUp));
-    sim.tell(1, |s, now| s.purge(Key::Group(1), now.unix, now));
+    sim.tell(1, |s, now| s.purge(Key::Group(1), now.unix, now).ok().flatten());
     sim.run(0.5);
     assert!(sim.alike() && sim.nodes.iter().flatten().all(|n| n.state.len() == 1));
 }
@@ -502,7 +514,7 @@
     sim.run(4.0);
     sim.lost = 0.05;
     for n in 0..8u32 {
-        sim.tell(n as usize * 37, |s, now| s.purge(Key::Group(n), now.unix, now));
+        sim.tell(n as usize * 37, |s, now| s.purge(Key::Group(n), now.unix, now).ok().flatten());
         let holds = |t: &Talk<usize>| t.state.get(&Key::Group(n)).is_some();
         let mut took = 0.0;
         while !sim.nodes.iter().flatten().all(holds) {
