--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -15,7 +15,7 @@
 use crate::core::{Clock, Message as ToCore, Reports};
 use crate::operator::PeersSection;
 use crate::replica::fresh::Fresh;
-use crate::replica::state::{Bounds, Now, State};
+use crate::replica::state::{Bounds, Now, Refused, State};
 use crate::replica::talk::{News, Say, Stage, Talk};
 use crate::replica::word::{Key, Kind, Run, Word};
 use crate::settings::micros;
@@ -23,7 +23,7 @@
 use foca::Timer;
 use frame::{Body, Foreign, Message, Seal};
 use members::{Due, Member, Members};
-use miniserde::Serialize;
+use miniserde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -63,10 +63,11 @@
 /// What the actor is told by this process.
 #[derive(Debug)]
 pub enum Order {
-    /// An operator's word: this server drains, or no longer does. Replies whether that was news.
-    Drain(String, bool, oneshot::Sender<bool>),
+    /// An operator's word: this server drains, or no longer does. Replies whether that was news, or why it
+    /// can't be held.
+    Drain(String, bool, oneshot::Sender<Result<bool, Refused>>),
     /// An operator's purge, of now.
-    Purge(Key, oneshot::Sender<bool>),
+    Purge(Key, oneshot::Sender<Result<bool, Refused>>),
     /// Asks for what is known of the peers.
     Show(oneshot::Sender<String>),
     /// Asks for all entries of a kind, a line each.
@@ -90,30 +91,67 @@
     }
 }
 
-/// What an operator is shown.
-#[derive(Serialize)]
-struct Shown {
-    name: String,
-    address: String,
-    incarnation: u64,
-    stage: String,
-    entries: BTreeMap<String, u64>,
-    bytes: u64,
-    peers: Vec<ShownPeer>,
-    gone: Vec<String>,
-    twins: Vec<String>,
-    counts: BTreeMap<String, u64>,
-    turned_down: BTreeMap<String, u64>,
+/// What an operator is shown: the answer to `peers` at the door, as JSON.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Shown {
+    /// This director.
+    pub name: String,
+    /// Where others reach it.
+    pub address: String,
+    /// Grows with each start and each return from the dead.
+    pub incarnation: u64,
+    /// How far it has come.
+    pub stage: String,
+    /// Entries by kind.
+    pub entries: BTreeMap<String, u64>,
+    /// Bytes of entries, as their bound counts them.
+    pub bytes: u64,
+    /// The others that are there, by name.
+    pub peers: Vec<ShownPeer>,
+    /// Those that are dead or have left.
+    pub gone: Vec<String>,
+    /// Names that two or more have.
+    pub twins: Vec<String>,
+    /// What was counted since the start.
+    pub counts: BTreeMap<String, u64>,
+    /// What was turned down, by cause.
+    pub turned_down: BTreeMap<String, u64>,
 }
 
-#[derive(Serialize)]
-struct ShownPeer {
-    name: String,
-    address: String,
+/// One of the others.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ShownPeer {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: String,
     /// Milliseconds since it last said anything; none: never in this run.
-    heard_ms: Option<u64>,
-    /// Milliseconds since its digest was last the same as ours.
-    alike_ms: Option<u64>,
+    pub heard_ms: Option<u64>,
+    /// Milliseconds since its digest was last the same as ours; none: never met.
+    pub alike_ms: Option<u64>,
+}
+
+impl std::fmt::Display for Shown {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let entries: Vec<String> = self.entries.iter().map(|(kind, n)| format!("{n} {kind}")).collect();
+        writeln!(f, "{} at {}, {}: {}", self.name, self.address, self.stage, entries.join(", "))?;
+        let ms = |ms: Option<u64>| ms.map_or("-".to_owned(), |ms| ms.to_string());
+        writeln!(f, "{:<24} {:<24} {:>10} {:>10}", "peer", "address", "heard, ms", "alike, ms")?;
+        for peer in &self.peers {
+            let (heard, alike) = (ms(peer.heard_ms), ms(peer.alike_ms));
+            writeln!(f, "{:<24} {:<24} {heard:>10} {alike:>10}", peer.name, peer.address)?;
+        }
+        for (what, lines) in [("gone", &self.gone), ("one name", &self.twins)] {
+            lines.iter().try_for_each(|line| writeln!(f, "{what}: {line}"))?;
+        }
+        let counted = |f: &mut std::fmt::Formatter<'_>, what: &str, counts: &BTreeMap<String, u64>| {
+            let some: Vec<String> =
+                counts.iter().filter(|(_, n)| **n > 0).map(|(name, n)| format!("{name} {n}")).collect();
+            writeln!(f, "{what}: {}", if some.is_empty() { "none".into() } else { some.join(", ") })
+        };
+        counted(f, "counted", &self.counts)?;
+        counted(f, "turned down", &self.turned_down)
+    }
 }
 
 /// The actor before it runs.
@@ -276,7 +314,7 @@
         BoardNews::Members { full, members } => state.listed(notice.rev, *full, members, now),
         BoardNews::Purge { object, group, ms } => {
             let key = object.clone().map_or(Key::Group(*group), Key::Object);
-            state.purge(key, micros(*ms), now).into_iter().collect()
+            state.purge(key, micros(*ms), now).ok().flatten().into_iter().collect()
         }
         BoardNews::Other => Vec::new(),
     }
@@ -650,8 +688,8 @@
     fn notice(&mut self, notice: &Notice) {
         let now = self.now();
         for (key, word) in hear(&mut self.talk.state, notice, now) {
-            // The core has it from the board itself, but for how long a purge is kept here; a drain in force may have
-            // to be told anew.
+            // The core has it from the board itself, but for how long a purge is kept here; a drain in force
+            // may have to be told anew.
             if key.kind() == Kind::Purges {
                 self.for_core.push_back(News { key: key.clone(), word: word.clone() });
             }
@@ -672,13 +710,14 @@
         match order {
             Order::Drain(name, on, reply) => {
                 let change = self.talk.state.drain(&name, on, now);
-                let _ = reply.send(change.is_some()); // who asked may have gone, here and below
-                self.told(change);
+                // Who asked may have gone, here and below.
+                let _ = reply.send(change.as_ref().map(Option::is_some).map_err(|cause| *cause));
+                self.told(change.ok().flatten());
             }
             Order::Purge(key, reply) => {
                 let change = self.talk.state.purge(key, now.unix, now);
-                let _ = reply.send(change.is_some());
-                self.told(change);
+                let _ = reply.send(change.as_ref().map(Option::is_some).map_err(|cause| *cause));
+                self.told(change.ok().flatten());
             }
             Order::Show(reply) => drop(reply.send(self.show(now))),
             Order::List(kind, reply) => drop(reply.send(self.list(kind))),
