--- a/src/fronts/ops.rs
+++ b/src/fronts/ops.rs
@@ -16,8 +16,10 @@
 
 /// Callers at a time; a further one takes the place of the one that came first.
 const MOST_CALLERS: usize = 8;
-/// The longest call.
-const LONGEST_CALL: usize = 600;
+/// The longest call, and the longest where calls may name an object.
+const LONGEST_CALL: usize = 256;
+#[cfg(feature = "peers")]
+const LONGEST_NAMED: usize = 600;
 /// A call must have come whole, and its answer have been taken, by then.
 const WHOLE_CALL: Duration = Duration::from_secs(2);
 /// The core answers within this, or can't serve.
@@ -109,7 +111,7 @@
                 return Ok(());
             }
             call.extend_from_slice(&byte[..n]);
-            if call.len() > LONGEST_CALL {
+            if call.len() > self.longest_call() {
                 return stream.write_all(b"NO the call is too long\n").await;
             }
         };
@@ -118,6 +120,14 @@
         stream.shutdown().await
     }
 
+    fn longest_call(&self) -> usize {
+        #[cfg(feature = "peers")]
+        if self.peers.is_some() {
+            return LONGEST_NAMED;
+        }
+        LONGEST_CALL
+    }
+
     async fn answer(&self, call: &[u8]) -> String {
         #[cfg(feature = "peers")]
         if let (Some(peers), Ok(call)) = (&self.peers, std::str::from_utf8(call)) {
