Withdraw what waits for a client that has left, and mend the races of ends and idle connections

An order that calls an attempt off could find a mailbox full, or cross the attempt on its way from a connection that had ended to another, and the attempt was sent for nobody; so it was on sites that allow no calling off, and where the word of a client's leaving found the core's mailbox full. An idle connection that its server had just closed was written to, so that a write failed that had never run. At the end of the program a request on an idle connection, one in the listener's queue and one that had begun to come were dropped. "Unchanged" was passed on though it named another copy. Half a second of waiting to be sent was a constant that fits one site's grace.

Change: a request has one word of its own (Over) that is read right before the first byte; one request at a time is in the out buffer and can be taken out again; the core asks the answer's channel before each send; sockets are looked at (socket2) where the runtime may not have been told; the time counts from when the server had the request; connections that are up come first; waits follow the site's grace; advice is no more than clients heed.

A flaw of the lab's relay, seen once under load, is mended too.

--- a/crates/foxhold-lab/src/relay.rs
+++ b/crates/foxhold-lab/src/relay.rs
@@ -82,8 +82,8 @@
     let out = carry(near_in, far_out, state.clone(), true);
     let back = carry(far_in, near_out, state.clone(), false);
     tokio::select! {
-        () = out => {}
-        () = back => {}
+        // In this order: what comes in the moment of a reset, or of a dropped link's return, does not pass.
+        biased;
         // Bytes of a dropped link are lost for good: who lived through it is reset at its end.
         () = async {
             let mut lossy = lost(born);
@@ -98,6 +98,8 @@
                 lossy |= lost(now);
             }
         } => {}
+        () = out => {}
+        () = back => {}
     }
 }
 
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -18,9 +18,9 @@
 const WAY_BACK_SHARE: Micros = 20;
 /// An attempt without a time-out of its own ends this much after the deadline: the module is to act first.
 const AFTER_DEADLINE: Micros = 2_000;
-/// An attempt that has not been sent by then is not sent at all. It stays well under the time in which drains
+/// An attempt that has not been sent by then is not sent at all, nor past half of the time in which drains
 /// and purges must be heeded: what is decided just before such news may still go out just after it.
-const SEND_WITHIN: Duration = Duration::from_millis(500);
+const SEND_WITHIN: Micros = 500_000;
 /// The longest that a request is held, whatever its client says.
 const LONGEST_ALLOW: Duration = Duration::from_secs(24 * 3600);
 /// Requests that are held at a time. Fronts have fewer clients than that; middleware may have any number.
@@ -40,12 +40,15 @@
     object: u64,
     /// Gone once it is answered.
     reply: Option<oneshot::Sender<Answer>>,
+    /// Told when it is answered or its client has left.
+    over: Over,
     /// When the client gives up, less the way back.
     deadline: Micros,
     attempts: u32,
     out: u32,
-    /// Attempts that may have run, as far as is known.
+    /// Attempts that may have run, as far as is known, and when the first of them was sent.
     may_have_run: u32,
+    first_sent: Micros,
     /// An attempt failed for another reason than want of room.
     failed: bool,
     /// What its attempts are logged under, where the level is on.
@@ -56,6 +59,8 @@
 struct Out {
     server: ServerId,
     sent: Micros,
+    /// When it had been written whole.
+    written: Option<Micros>,
     /// Its peer has it.
     handed_over: bool,
     /// The source of its fill, for the log.
@@ -186,12 +191,16 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Ask(number, ask, reply) => self.ask(number, *ask, reply),
+            Message::Ask(number, ask, reply, over) => self.ask(number, *ask, reply, over),
             Message::Left(number) => self.left(number),
             Message::Ended(ticket, end) => self.ended(ticket, end),
             Message::Probed(number, result) => self.probed(number, result),
             Message::Members { full, members } => self.members(full, members),
-            Message::Written => self.written += 1,
+            Message::Written(ticket) => {
+                self.written += 1;
+                let now = self.clock.now();
+                self.attempts.entry(ticket).and_modify(|out| out.written = Some(now));
+            }
             Message::Forgotten(ticket, how) => self.told(ticket.request, how.never_ran()),
             Message::Drain(name, on, reply) => {
                 let _ = reply.send(self.drain(&name, on)); // who has gone wants none
@@ -340,7 +349,7 @@
 
     // ---- requests ----
 
-    fn ask(&mut self, number: u64, ask: Ask, reply: oneshot::Sender<Answer>) {
+    fn ask(&mut self, number: u64, ask: Ask, reply: oneshot::Sender<Answer>, over: Over) {
         let now = self.clock.now();
         let allow = ask.allow.min(LONGEST_ALLOW).as_micros() as Micros;
         let deadline = now + allow.saturating_sub((allow / WAY_BACK_SHARE).clamp(WAY_BACK.0, WAY_BACK.1));
@@ -370,8 +379,19 @@
             return self.reply(ask.class, reply, Answer::Failed(Cause::Duplicate));
         }
         let span = tracing::debug_span!("request", id = &*ask.id, class = &*self.classes[ask.class]);
-        let (reply, failed) = (Some(reply), false);
-        let live = Live { ask, object, reply, deadline, attempts: 0, out: 0, may_have_run: 0, failed, span };
+        let live = Live {
+            ask,
+            object,
+            reply: Some(reply),
+            over,
+            deadline,
+            attempts: 0,
+            out: 0,
+            may_have_run: 0,
+            first_sent: 0,
+            failed: false,
+            span,
+        };
         self.live.insert(number, live);
         if self.expired(number) {
             self.expire(number);
@@ -418,6 +438,7 @@
     fn left(&mut self, number: u64) {
         let Some(live) = self.live.get_mut(&number).filter(|l| l.reply.is_some()) else { return };
         live.reply = None;
+        live.over.end();
         let (class, out) = (self.classes[live.ask.class].clone(), live.out as usize);
         let ran_before = live.may_have_run > live.out;
         match self.let_go.left(number, &class, ran_before, out) {
@@ -445,6 +466,7 @@
     fn drop_request(&mut self, number: u64, answer: Option<Answer>) {
         let Some(live) = self.live.get_mut(&number) else { return };
         let class = live.ask.class;
+        live.over.end();
         if let (Some(reply), Some(answer)) = (live.reply.take(), answer) {
             self.reply(class, reply, answer);
         }
@@ -454,8 +476,9 @@
 
     /// Gives the one final answer; any later one finds the reply gone.
     fn answer(&mut self, number: u64, answer: Answer) {
-        let held = self.live.get_mut(&number).and_then(|l| Some((l.ask.class, l.reply.take()?)));
-        if let Some((class, reply)) = held {
+        let held =
+            self.live.get_mut(&number).and_then(|l| Some((l.ask.class, l.reply.take()?, l.over.end())));
+        if let Some((class, reply, ())) = held {
             self.reply(class, reply, answer);
         }
         self.tidy(number);
@@ -475,6 +498,10 @@
         if self.live.get(&number).is_some_and(|l| l.reply.is_some()) && self.expired(number) {
             self.expire(number);
         }
+        if self.live.get(&number).and_then(|l| l.reply.as_ref()).is_some_and(oneshot::Sender::is_closed) {
+            // Its client has left, and the word of it is behind this in the mailbox, or found no room there.
+            self.left(number);
+        }
         let now = self.clock.now();
         let Some(live) = self.live.get_mut(&number) else { return };
         let ticket = Ticket { request: number, attempt: live.attempts };
@@ -482,7 +509,8 @@
         live.out += 1;
         let source = fill.map(|f| f.source).filter(|s| *s != server);
         let keep = fill.map_or(0, |f| f.keep);
-        self.attempts.insert(ticket, Out { server, sent: now, handed_over: false, source, keep });
+        let out = Out { server, sent: now, written: None, handed_over: false, source, keep };
+        self.attempts.insert(ticket, out);
         if live.reply.is_none() {
             return self.finish(ticket, Outcome::NotSent, None);
         }
@@ -496,6 +524,15 @@
             fill.join &= age > limit && limit > 0;
         }
         let until = if timeout > 0 { now + timeout } else { live.deadline + AFTER_DEADLINE };
+        let settings = &self.settings;
+        let heed = [settings.drain_grace, settings.purge_grace].into_iter().filter(|grace| *grace > 0);
+        let mut send_within = heed.map(|grace| grace / 2).min().unwrap_or(SEND_WITHIN).min(SEND_WITHIN);
+        if let (Effect::Keyed { window, .. }, true) =
+            (&settings.classes[live.ask.class].effect, live.may_have_run > 0)
+        {
+            // Servers throw a repeat away within this; the module looked at the clock before it was queued.
+            send_within = send_within.min((live.first_sent + window).saturating_sub(now));
+        }
         let want = Want {
             ticket,
             id: live.ask.id.clone(),
@@ -503,7 +540,8 @@
             object: live.ask.object.clone(),
             part: live.ask.part,
             until: self.clock.instant(until),
-            send_by: self.clock.instant(until).min(Instant::now() + SEND_WITHIN),
+            send_by: self.clock.instant(until.min(now + send_within)),
+            over: live.over.clone(),
             via: source.and_then(|s| self.servers.get(&s)).map(|s| s.listing.name.clone()),
             keep,
             // 0 has a meaning of its own, and rounding up would let an older copy pass.
@@ -519,6 +557,9 @@
         let taken = self.servers.get(&server).is_some_and(|s| s.mailbox.try_send(Order::Want(want)).is_ok());
         if taken {
             if let (Some(live), Some(out)) = (self.live.get_mut(&number), self.attempts.get_mut(&ticket)) {
+                if live.may_have_run == 0 {
+                    live.first_sent = now;
+                }
                 live.may_have_run += 1;
                 out.handed_over = true;
             }
@@ -546,15 +587,16 @@
 
     fn ended(&mut self, ticket: Ticket, end: End) {
         let outcome = match &end {
-            Ok(reply) => match reply.verdict {
-                // Nothing is unchanged for a client that has nothing: such an answer is spoilt.
-                Verdict::Unchanged(_) if !self.knows(ticket.request) => Outcome::Failed,
+            Ok(reply) => match &reply.verdict {
+                // Unchanged is what the client has: an answer that names another copy, or none, is spoilt.
+                Verdict::Unchanged(tag) if !self.knows(ticket.request, tag.as_ref()) => Outcome::Failed,
                 Verdict::Copy(_) | Verdict::Unchanged(_) => Outcome::Ok,
                 Verdict::Miss => Outcome::Miss,
                 Verdict::Full => Outcome::Full,
                 Verdict::Error => Outcome::Failed,
                 Verdict::Stale => Outcome::NotSent,
             },
+            Err(Broken::CalledOff) => Outcome::NotSent,
             Err(broken) if broken.never_ran() => Outcome::ConnectError,
             Err(_) => Outcome::Reset,
         };
@@ -569,9 +611,9 @@
         self.finish(ticket, outcome, end.ok());
     }
 
-    /// Whether the client has a copy of its own.
-    fn knows(&self, number: u64) -> bool {
-        self.live.get(&number).is_some_and(|l| l.ask.known.is_some())
+    /// Whether the client has the copy of this tag.
+    fn knows(&self, number: u64, tag: Option<&Arc<str>>) -> bool {
+        tag.is_some() && self.live.get(&number).is_some_and(|l| l.ask.known.as_ref() == tag)
     }
 
     /// Ends an attempt; the first end counts and any later one finds it gone. Guards against a peer that
@@ -589,6 +631,9 @@
         if outcome.never_ran() && out.handed_over {
             live.may_have_run -= 1;
         }
+        // From when the server had it: what it waited for a connection says nothing of server or link.
+        let had = out.written.or(reply.is_some().then_some(out.sent));
+        let took = had.map_or(0, |at| self.clock.now().saturating_sub(at));
         let (note, waited, gauges) =
             reply.as_ref().map_or((Note::None, 0, &[][..]), |r| (r.note, r.waited, &r.gauges));
         let report = report(&self.settings, gauges);
@@ -597,7 +642,6 @@
             Some(Verdict::Unchanged(tag)) => Some(Answer::Unchanged(tag)),
             _ => None,
         };
-        let took = self.clock.now().saturating_sub(out.sent);
         let name = |id: ServerId| self.servers.get(&id).map_or("?", |s| &*s.listing.name);
         tracing::debug!(
             parent: &live.span,
@@ -613,6 +657,9 @@
         let class = live.ask.class;
         let given = answer.zip(live.reply.take_if(|_| outcome == Outcome::Ok));
         let over = live.reply.is_none();
+        if over {
+            live.over.end();
+        }
         if let Some((answer, reply)) = given {
             self.reply(class, reply, answer);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -128,12 +128,14 @@
     Written,
     /// Its answer had begun.
     Answering,
+    /// Its request was over before anything of it was written.
+    CalledOff,
 }
 
 impl Broken {
     /// Whether the attempt surely had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Broken::NotConnected | Broken::Unwritten | Broken::PartlyWritten)
+        !matches!(self, Broken::Written | Broken::Answering)
     }
 }
 
@@ -145,12 +147,31 @@
             Broken::PartlyWritten => "partly written",
             Broken::Written => "written, not answered",
             Broken::Answering => "broke off in the answer",
+            Broken::CalledOff => "called off, nothing written",
         })
     }
 }
 
 impl std::error::Error for Broken {}
 
+/// Whether a request is over: answered, or let go by its client. Whoever carries its attempts looks at this
+/// last thing before the first byte: the order that calls an attempt off can find a mailbox full, or cross
+/// the attempt on its way from a connection that has ended to another.
+#[derive(Clone, Debug, Default)]
+pub struct Over(Arc<AtomicBool>);
+
+impl Over {
+    /// Whether nothing more is to be sent for it.
+    pub fn is(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// It is over from now on.
+    pub fn end(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A server's verdict on an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -210,6 +231,8 @@
     pub until: Instant,
     /// Not to be sent after this: by then it may no longer be right to.
     pub send_by: Instant,
+    /// Not to be sent once this says so.
+    pub over: Over,
     /// The server a miss is filled from; none: no fill.
     pub via: Option<Arc<str>>,
     /// Rank at which the copy is kept.
@@ -243,7 +266,7 @@
 #[derive(Debug)]
 pub enum Message {
     /// A request and where its answer goes.
-    Ask(u64, Box<Ask>, oneshot::Sender<Answer>),
+    Ask(u64, Box<Ask>, oneshot::Sender<Answer>, Over),
     /// The client of this request has gone.
     Left(u64),
     /// The end of an attempt.
@@ -258,7 +281,7 @@
         members: Vec<Listing>,
     },
     /// An attempt was written whole.
-    Written,
+    Written(Ticket),
     /// How far an attempt had come when its peer gave it up, as it was told to.
     Forgotten(Ticket, Broken),
     /// A server drains, whatever its source says of it; or that no longer holds. The reply tells whether it
@@ -409,15 +432,15 @@
     /// Hands a request over. Dropping the [`Pending`] tells the core that the client has gone.
     pub fn ask(&self, ask: Ask) -> Pending {
         let request = self.next.fetch_add(1, Ordering::Relaxed);
-        let (reply, answer) = oneshot::channel();
+        let ((reply, answer), over) = (oneshot::channel(), Over::default());
         // Full: the request is turned away at once, which is harmless as nothing ran.
-        let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply));
+        let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply, over.clone()));
         let cause = match &taken {
             Err(mpsc::error::TrySendError::Closed(_)) => Cause::Ended,
             _ => Cause::Busy,
         };
         let answer = taken.is_ok().then_some(answer);
-        Pending { request, answer, cause, mailbox: self.mailbox.clone() }
+        Pending { request, answer, over, cause, mailbox: self.mailbox.clone() }
     }
 
     /// Whether the actor has ended.
@@ -444,6 +467,7 @@
 pub struct Pending {
     request: u64,
     answer: Option<oneshot::Receiver<Answer>>,
+    over: Over,
     /// Why it was not taken, where it was not.
     cause: Cause,
     mailbox: mpsc::Sender<Message>,
@@ -467,7 +491,8 @@
 impl Drop for Pending {
     fn drop(&mut self) {
         if self.answer.is_some() {
-            // Full: the actor learns of it when it has an answer or the deadline passes.
+            self.over.end();
+            // Full: the actor learns of it when it would send again, has an answer, or the deadline passes.
             let _ = self.mailbox.try_send(Message::Left(self.request));
         }
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,7 +22,7 @@
 use tokio::task::JoinHandle;
 #[cfg(feature = "peers")]
 use tokio::time::timeout;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// After SIGTERM connections and requests keep coming for this long, and are served.
 const STILL_COMING: Duration = Duration::from_millis(700);
@@ -120,11 +120,6 @@
         () = terminated => {}
         end = running.task => return Err(format!("the core ended: {end:?}")),
     }
-    #[cfg(feature = "peers")]
-    if let Some(peers) = peers {
-        // Others hear at once that it goes, and the disk has all that was told.
-        let _ = timeout(LEAVING, peers.ask(peers::Order::Leave)).await;
-    }
     let told = Instant::now();
     let longest = core.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let longest = Duration::from_micros(longest).max(LEAST_DEADLINE);
@@ -134,11 +129,19 @@
         accepting.iter().for_each(JoinHandle::abort);
         let _ = close.send(Closing::AfterAnswer);
     }
-    sleep(STILL_COMING).await;
-    accepting.iter().for_each(JoinHandle::abort);
+    #[cfg(feature = "peers")]
+    if let Some(peers) = peers {
+        // Others hear at once that it goes, and the disk has all that was told; what comes is served.
+        let _ = timeout(LEAVING, peers.ask(peers::Order::Leave)).await;
+    }
+    sleep_until(told + STILL_COMING).await;
     let _ = close.send(Closing::Idle);
-    while open.get() > 0 && told.elapsed() < longest + STILL_COMING {
+    // Slept first: connections with a request that has begun to come are counted once they are told.
+    loop {
         sleep(Duration::from_millis(5)).await;
+        if open.get() == 0 || told.elapsed() >= longest + STILL_COMING {
+            break;
+        }
     }
     // The last answers are written; a moment for what the clients have not yet read.
     sleep(Duration::from_millis(20)).await;
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -86,10 +86,10 @@
                 copy.tag,
             ),
             Answer::Unchanged(tag) => tagged(Response::empty(304), tag),
-            Answer::Refused { wait: Some(wait), .. } => {
-                Response::empty(503).with("X-Wait-Ms", wait.as_millis().max(1).to_string())
-            }
-            Answer::Refused { wait: None, .. } => Response::empty(503),
+            Answer::Refused { wait, .. } => match wait.and_then(|wait| self.advice(wait)) {
+                Some(wait) => Response::empty(503).with("X-Wait-Ms", wait.as_millis().max(1).to_string()),
+                None => Response::empty(503),
+            },
             Answer::Failed(Cause::Deadline) => Response::empty(504),
             Answer::Failed(Cause::Duplicate) => Response::empty(409),
             Answer::Failed(_) => Response::empty(502),
@@ -97,6 +97,15 @@
     }
 }
 
+impl Platform {
+    /// What a client is told of when to come back: no longer than clients heed, and only where they do.
+    fn advice(&self, wait: Duration) -> Option<Duration> {
+        let settings = self.0.settings();
+        let most = Duration::from_micros(settings.max_advice);
+        settings.retry_advice.then_some(wait.min(most)).filter(|wait| !wait.is_zero())
+    }
+}
+
 /// Ids and objects are 16 hex digits on the platform.
 fn is_hex(text: &str) -> bool {
     text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -2,13 +2,14 @@
 
 use super::http::{self, BadRequest, Head, Response};
 use crate::core::{Answer, Ask, Cause, Core};
+use crate::transport::ahead;
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
@@ -23,6 +24,8 @@
 const WHOLE_REQUEST: Duration = Duration::from_secs(2);
 /// A new connection is left alone for so long, for its first request is on the way.
 const NEW: Duration = Duration::from_millis(100);
+/// How often a client that sends more than is read ahead is looked at: whether it has gone.
+const LOOK: Duration = Duration::from_millis(50);
 /// An answer must be taken by then.
 const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 
@@ -88,20 +91,24 @@
 
 /// Accepts connections from a listener. It waits for no place: where connections come and say nothing, others
 /// would wait behind them.
+/// At the end it takes what had come by then, for clients may have written whole requests there already.
 pub async fn accept<F: Front>(listener: TcpListener, shared: Shared, front: F) {
-    let (places, shared) = (shared.places.clone(), Rc::new((shared, front)));
+    let (places, mut closing) = (shared.places.clone(), shared.closing.clone());
+    let shared = Rc::new((shared, front));
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|c| *c == Closing::Idle) => break,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let Some(place) = places.enter() else {
                     let (wait, cause) = (Some(Duration::from_millis(500)), Cause::Busy);
                     turn_away(stream, &shared.1.word(Answer::Refused { wait, cause }));
                     continue;
                 };
-                let shared = shared.clone();
-                tokio::task::spawn_local(async move {
-                    serve(stream, &place, &shared.0, &shared.1).await;
-                });
+                begin(stream, place, &shared);
             }
             Err(error) => {
                 // Out of descriptors, most likely: others have to end first.
@@ -110,6 +117,22 @@
             }
         }
     }
+    // The runtime may not have been told of these yet, so the socket itself is asked.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let (Ok(stream), Some(place)) = (stream, places.enter()) {
+            begin(stream, place, &shared);
+        }
+    }
+}
+
+/// Serves a connection in a task of its own.
+fn begin<F: Front>(stream: TcpStream, place: Place, shared: &Rc<(Shared, F)>) {
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        serve(stream, &place, &shared.0, &shared.1).await;
+    });
 }
 
 /// Refuses a connection for which there is no place, without waiting for anything.
@@ -168,7 +191,13 @@
         Some(Place(self.clone()))
     }
 
-    fn make_room(&self) {
+    /// Connections that wait for a request.
+    pub fn waiting(&self) -> usize {
+        self.waiting.borrow().iter().map(BTreeMap::len).sum()
+    }
+
+    /// Has one that waits for a request end.
+    pub fn make_room(&self) {
         let [new, idle] = &mut *self.waiting.borrow_mut();
         let silent = new.first_key_value().is_some_and(|(_, w)| w.since.elapsed() >= NEW);
         let first = if silent { new.pop_first() } else { None };
@@ -234,21 +263,34 @@
     let due = Some(Instant::now() + WHOLE_REQUEST);
     let (mut connection, mut closing) =
         (Connection { stream, buffer, head: None, due }, shared.closing.clone());
-    let mut asked = false;
+    // Counted while a request is in hand, and at the end of the program from its first byte on.
+    let (mut asked, mut counted) = (false, None);
     loop {
         let (stay, told) = place.wait(asked);
         let request = tokio::select! {
             request = connection.next_request(front.largest_body()) => request,
-            // One that has begun to come is taken, and answered before the program ends.
-            _ = closing.wait_for(|c| *c == Closing::Idle), if connection.idle() => match connection.idle() {
-                true => return,
-                false => continue,
-            },
-            // Where a request crosses this, it is taken all the same.
-            Ok(()) = told => match asked && connection.has_come() {
-                true => continue,
-                false => return,
-            },
+            // One that has begun to come is taken, and answered before the program ends. So is the first of a
+            // new connection, which is on the way.
+            _ = closing.wait_for(|c| *c == Closing::Idle), if counted.is_none() => {
+                if !connection.has_come() {
+                    if asked {
+                        return;
+                    }
+                    connection.due = Some(Instant::now() + NEW);
+                }
+                counted = Some(Counted::new(&shared.open));
+                continue;
+            }
+            // Where a request crosses this, it is taken all the same; of a new connection if it is whole.
+            Ok(()) = told => {
+                if !connection.has_come() {
+                    return;
+                }
+                if !asked {
+                    connection.due = Some(Instant::now());
+                }
+                continue;
+            }
         };
         drop(stay);
         asked = true;
@@ -261,7 +303,7 @@
                 return;
             }
         };
-        let _counted = Counted::new(&shared.open);
+        let _counted = counted.take().unwrap_or_else(|| Counted::new(&shared.open));
         let response = match front.read(&head, body) {
             Err(response) => response,
             Ok(ask) => tokio::select! {
@@ -283,9 +325,9 @@
         self.buffer.is_empty() && self.head.is_none()
     }
 
-    /// Whether anything of a next request has come, be it unread.
-    fn has_come(&mut self) -> bool {
-        !self.idle() || matches!(self.stream.try_read_buf(&mut self.buffer), Ok(n) if n > 0)
+    /// Whether anything of a next request has come, be it unread and untold of yet.
+    fn has_come(&self) -> bool {
+        !self.idle() || matches!(ahead(&self.stream), Ok(n) if n > 0)
     }
 
     /// Reads the next request; none: the client closed the connection, left it idle or took too long. What
@@ -327,13 +369,16 @@
                 _ => return,
             }
         }
-        std::future::pending().await
+        // More is not read, so that the end behind it is seen by the socket's state alone.
+        while !matches!(self.stream.ready(Interest::READABLE).await, Ok(ready) if ready.is_read_closed()) {
+            sleep(LOOK).await;
+        }
     }
 
     async fn write(&mut self, response: &Response, close: bool) -> std::io::Result<()> {
         let mut bytes = Bytes::from(response.head(close)).chain(response.body.clone());
         let written = timeout(WHOLE_ANSWER, self.stream.write_all_buf(&mut bytes)).await;
-        written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+        written.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
     }
 
     /// Reads on for a moment after an answer that closes, as RFC 9112 (9.6) advises: closing with unread
--- a/src/sources/board.rs
+++ b/src/sources/board.rs
@@ -194,7 +194,7 @@
 ) {
     let mut wait = FIRST_WAIT;
     loop {
-        let (before, at) = (last, address.borrow_and_update().clone());
+        let (before, mut told, at) = (last, false, address.borrow_and_update().clone());
         if at.is_empty() {
             // Nothing to follow, unless a new configuration names one.
             if address.changed().await.is_err() {
@@ -205,7 +205,7 @@
         // Nothing is lost where the address changes in the midst of an event: its number is taken when it has
         // come whole, and the mailbox takes it before the next is read.
         let error = tokio::select! {
-            error = connection(&at, &mut last, purges_only, &reports, &tap) => error,
+            error = connection(&at, &mut last, &mut told, purges_only, &reports, &tap) => error,
             Ok(()) = address.changed() => {
                 wait = FIRST_WAIT;
                 tracing::info!("board: told of another address; asking there after event {last}");
@@ -213,7 +213,8 @@
             }
         };
         tracing::info!("board: {error}; connecting anew after event {last}");
-        wait = if last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
+        // A connection that told anything, be it that there is no news, was a good one.
+        wait = if told || last > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
         tokio::select! {
             () = sleep(apart(wait)) => {}
             Ok(()) = address.changed() => address.mark_changed(),
@@ -225,6 +226,7 @@
 async fn connection(
     address: &str,
     last: &mut u64,
+    told: &mut bool,
     purges_only: bool,
     reports: &Reports,
     tap: &Tap,
@@ -255,7 +257,7 @@
             match parse_line(&line) {
                 // Events come in order, so a number ahead of ours means that some were lost on the way.
                 Ok(Line::Last(number)) if number > *last => return format!("events up to {number} missed"),
-                Ok(Line::Last(_)) => {}
+                Ok(Line::Last(_)) => *told = true,
                 Ok(Line::Notice(notice)) if notice.rev <= *last => {}
                 Ok(Line::Notice(notice)) => {
                     let rev = notice.rev;
--- a/src/transport/host.rs
+++ b/src/transport/host.rs
@@ -66,7 +66,13 @@
                 let mut last =
                     LastWord { said: false, ticket, reports: reports.clone(), how: Broken::Unwritten };
                 let task = tokio::task::spawn_local(async move {
+                    if want.over.is() {
+                        last.said = true;
+                        return last.reports.send(Message::Ended(ticket, Err(Broken::CalledOff))).await;
+                    }
                     last.how = Broken::Written;
+                    // From here on the time is the server's.
+                    last.reports.send(Message::Written(ticket)).await;
                     let end = exchange.exchange(&server, want).await;
                     last.said = true;
                     last.reports.send(Message::Ended(ticket, end)).await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,3 +3,21 @@
 pub mod host;
 pub mod lines;
 pub mod servers;
+
+use std::io::ErrorKind::WouldBlock;
+use std::mem::MaybeUninit;
+use tokio::net::TcpStream;
+
+/// Looks at what has come on a connection and is not read, be it that the runtime has not been told of it:
+/// at most one byte; 0 is the end.
+pub fn ahead(stream: &TcpStream) -> std::io::Result<usize> {
+    socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
+
+/// Whether the other side has closed or reset a connection of which all that came is read.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    match ahead(stream) {
+        Ok(n) => n == 0,
+        Err(error) => error.kind() != WouldBlock,
+    }
+}
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -4,15 +4,17 @@
 //! own that reports ends straight to the core. An attempt that no connection began to write goes back to the
 //! actor when its connection ends, and is placed anew for as long as it may still be sent.
 
+use super::has_ended;
 use super::lines::{self, Content, Reader};
 use crate::api::ServerId;
-use crate::core::{Broken, Health, Listing, Message, Order, Peers, Reports, Ticket, Want};
+use crate::core::{Broken, Health, Listing, Message, Order, Over, Peers, Reports, Ticket, Want};
 use crate::settings::Transport;
 use bytes::{Buf, BytesMut};
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind::WouldBlock;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::error::SendError;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
@@ -34,8 +36,6 @@
 const DOUBTFUL: Duration = Duration::from_millis(150);
 /// and is dead if none has come by then.
 const DEAD: Duration = Duration::from_millis(900);
-/// Bytes that wait to be written; further requests stay queued, where they can still be called off.
-const OUT_BUFFER: usize = 64 * 1024;
 /// An answer this long awaited without a byte on its connection, when it is given up, shows that the
 /// connection may be dead: a machine that vanished leaves it open and silent, also after its successor came.
 const SILENCE: Duration = Duration::from_millis(1000);
@@ -80,6 +80,8 @@
 
 /// What a connection tells its actor.
 enum News {
+    /// It has come up.
+    Up(u64),
     /// The attempt needs its place no longer.
     Done(u64, Ticket),
     /// Nothing new should be placed on this connection.
@@ -92,6 +94,7 @@
     number: u64,
     orders: mpsc::Sender<Order>,
     open: HashMap<Ticket, Arc<str>>,
+    up: bool,
     suspect: bool,
 }
 
@@ -116,6 +119,10 @@
                     None => return,
                 },
                 Some(news) = news.recv() => match news {
+                    News::Up(number) => {
+                        let found = self.connections.iter_mut().find(|c| c.number == number);
+                        found.into_iter().for_each(|c| c.up = true);
+                    }
                     News::Done(number, ticket) => {
                         if let Some(c) = self.connections.iter_mut().find(|c| c.number == number) {
                             c.open.remove(&ticket);
@@ -140,6 +147,9 @@
 
     async fn order(&mut self, order: Order, again: bool) {
         match order {
+            Order::Want(want) if want.over.is() => {
+                self.reports.send(Message::Ended(want.ticket, Err(Broken::CalledOff))).await;
+            }
             Order::Want(want) => {
                 let ticket = want.ticket;
                 let place = self.place(&want);
@@ -158,7 +168,7 @@
             }
             Order::Forget(ticket) => {
                 if let Some(c) = self.connections.iter_mut().find(|c| c.open.contains_key(&ticket)) {
-                    // Full: the answer comes in vain.
+                    // Full, or ended: what is not written yet is not, for its request is over.
                     let _ = c.orders.try_send(Order::Forget(ticket));
                 }
             }
@@ -174,15 +184,15 @@
         }
     }
 
-    /// The connection for an attempt: the fullest that carries few, so that others fall idle and close; then
-    /// a new one; then the emptiest that has room. Two attempts of one id never share a connection, for their
-    /// answers could not be told apart.
+    /// The connection for an attempt: the fullest that carries few, so that others fall idle and close, of
+    /// those that are up if there are such; then a new one; then the emptiest that has room. Two attempts of
+    /// one id never share a connection, for their answers could not be told apart.
     fn place(&mut self, want: &Want) -> Option<&mut Connection> {
         let streams = self.transport.streams;
         let fits =
             |c: &Connection| !c.suspect && c.open.len() < streams && c.open.values().all(|id| *id != want.id);
         let found = || self.connections.iter().enumerate().filter(|(_, c)| fits(c));
-        let few = found().filter(|(_, c)| c.open.len() < FEW).max_by_key(|(_, c)| c.open.len());
+        let few = found().filter(|(_, c)| c.open.len() < FEW).max_by_key(|(_, c)| (c.up, c.open.len()));
         let emptiest = found().min_by_key(|(_, c)| c.open.len()).map(|(n, _)| n);
         let place = few.map(|(n, _)| n).or_else(|| self.connect()).or(emptiest)?;
         self.connections.get_mut(place)
@@ -201,6 +211,7 @@
         let task = Task {
             _place: place,
             number,
+            address: self.address.clone(),
             transport: self.transport.clone(),
             reports: self.reports.clone(),
             actor: self.to_actor.clone(),
@@ -209,14 +220,15 @@
             probes: HashMap::new(),
             ids: HashMap::new(),
             forgotten: VecDeque::new(),
-            unwritten: VecDeque::new(),
+            unwritten: None,
             out: BytesMut::new(),
             queued: 0,
             written: 0,
             last_read: Instant::now(),
         };
-        tokio::task::spawn_local(task.run(self.address.clone(), orders));
-        self.connections.push(Connection { number, orders: mailbox, open: HashMap::new(), suspect: false });
+        tokio::task::spawn_local(task.run(orders));
+        let (open, up, suspect) = (HashMap::new(), false, false);
+        self.connections.push(Connection { number, orders: mailbox, open, up, suspect });
         Some(self.connections.len() - 1)
     }
 }
@@ -234,6 +246,7 @@
 struct Task {
     _place: OwnedSemaphorePermit,
     number: u64,
+    address: Arc<str>,
     transport: Transport,
     reports: Reports,
     actor: mpsc::Sender<News>,
@@ -245,8 +258,8 @@
     ids: HashMap<Arc<str>, Ticket>,
     /// Ids that were given up here; the oldest leave first.
     forgotten: VecDeque<Arc<str>>,
-    /// Where requests end that are not written whole, in their order.
-    unwritten: VecDeque<u64>,
+    /// The request that is not written whole yet.
+    unwritten: Option<(Ticket, Over)>,
     out: BytesMut,
     /// Bytes ever put into the out buffer, and ever written.
     queued: u64,
@@ -255,9 +268,10 @@
 }
 
 impl Task {
-    async fn run(mut self, address: Arc<str>, mut orders: mpsc::Receiver<Order>) {
-        match self.connect(&address, &mut orders).await {
+    async fn run(mut self, mut orders: mpsc::Receiver<Order>) {
+        match self.connect(&mut orders).await {
             Some(stream) => {
+                let _ = self.actor.send(News::Up(self.number)).await;
                 let answering = self.serve(stream, &mut orders).await;
                 self.end(answering, orders).await;
             }
@@ -266,8 +280,9 @@
     }
 
     /// Brings the connection up, and meanwhile takes orders, for they may be called off again.
-    async fn connect(&mut self, address: &str, orders: &mut mpsc::Receiver<Order>) -> Option<TcpStream> {
-        let connecting = timeout(self.transport.connect_timeout, TcpStream::connect(address));
+    async fn connect(&mut self, orders: &mut mpsc::Receiver<Order>) -> Option<TcpStream> {
+        let address = self.address.clone();
+        let connecting = timeout(self.transport.connect_timeout, TcpStream::connect(&*address));
         tokio::pin!(connecting);
         let mut closed = false;
         loop {
@@ -293,8 +308,11 @@
         };
         let before = self.queue.len();
         self.queue.retain(|o| !matches!(o, Order::Want(w) if w.ticket == ticket));
-        if let Some(open) = self.open.remove(&ticket) {
-            // What is in the out buffer goes out whole, before the word that gives it up.
+        if self.withdraw(ticket) {
+            self.reports.send(Message::Forgotten(ticket, Broken::Unwritten)).await;
+            let _ = self.actor.send(News::Done(self.number, ticket)).await;
+        } else if let Some(open) = self.open.remove(&ticket) {
+            // What has begun to go out goes out whole, before the word that gives it up.
             self.reports.send(Message::Forgotten(ticket, Broken::Written)).await;
             if open.since.elapsed() >= SILENCE && self.last_read <= open.since {
                 let _ = self.actor.send(News::Suspect(self.number)).await;
@@ -314,12 +332,38 @@
         }
     }
 
-    /// Moves orders from the queue to the out buffer.
+    /// Takes an attempt of which nothing is written back out of the out buffer; whether it was one.
+    fn withdraw(&mut self, ticket: Ticket) -> bool {
+        let Some(open) = self.open.get(&ticket).filter(|o| o.start >= self.written) else { return false };
+        let (from, to) = ((open.start - self.written) as usize, (open.end - self.written) as usize);
+        // It is the one request in there; a word that gives up an earlier one may follow it.
+        let after = self.out.split_off(to);
+        self.out.truncate(from);
+        self.out.unsplit(after);
+        self.queued -= (to - from) as u64;
+        self.unwritten = None;
+        self.open.remove(&ticket).map(|open| self.ids.remove(&open.id));
+        true
+    }
+
+    /// Withdraws the attempt that waits to be written if its request is over, however that came to be known.
+    async fn drop_over(&mut self) {
+        let over = self.unwritten.as_ref().filter(|(_, over)| over.is()).map(|(ticket, _)| *ticket);
+        if let Some(ticket) = over.filter(|ticket| self.withdraw(*ticket)) {
+            self.report(ticket, Err(Broken::CalledOff)).await;
+        }
+    }
+
+    /// Moves orders from the queue to the out buffer, one request at a time: those that wait can still be
+    /// called off.
     async fn fill(&mut self) {
-        while self.out.len() < OUT_BUFFER {
+        while self.out.is_empty() {
             let Some(order) = self.queue.pop_front() else { return };
             let (now, from) = (Instant::now(), self.out.len());
             match order {
+                Order::Want(want) if want.over.is() => {
+                    self.report(want.ticket, Err(Broken::CalledOff)).await;
+                }
                 Order::Want(want) if now > want.send_by => {
                     self.report(want.ticket, Err(Broken::Unwritten)).await;
                 }
@@ -332,7 +376,7 @@
                     let start = self.queued;
                     self.queued += (self.out.len() - from) as u64;
                     let open = Open { id: want.id.clone(), start, end: self.queued, since: now };
-                    self.unwritten.push_back(self.queued);
+                    self.unwritten = Some((want.ticket, want.over));
                     self.ids.insert(want.id, want.ticket);
                     self.open.insert(want.ticket, open);
                 }
@@ -347,11 +391,10 @@
         }
     }
 
-    /// Tells of each request that has now been written whole, answered or not, given up or not.
+    /// Tells of a request that has now been written whole, answered or not, given up or not.
     async fn count_written(&mut self) {
-        while self.unwritten.front().is_some_and(|end| *end <= self.written) {
-            self.unwritten.pop_front();
-            self.reports.send(Message::Written).await;
+        if let Some((ticket, _)) = self.unwritten.take_if(|_| self.out.is_empty()) {
+            self.reports.send(Message::Written(ticket)).await;
         }
     }
 
@@ -362,7 +405,7 @@
 
     /// Writes, reads and takes orders until the connection ends. Returns the id whose answer was cut off.
     async fn serve(&mut self, mut stream: TcpStream, orders: &mut mpsc::Receiver<Order>) -> Option<Arc<str>> {
-        let (mut read, mut write) = stream.split();
+        let (mut read, write) = stream.split();
         let (mut reader, mut buffer) = (Reader::default(), BytesMut::with_capacity(8 * 1024));
         // Ends before the server would end it, so that no request crosses the server's close.
         let idle = self.transport.idle.mul_f64(0.8);
@@ -371,6 +414,11 @@
         let mut asked = 0;
         self.last_read = used;
         loop {
+            // Guards against writing to a connection that its server has closed meanwhile: what was not
+            // written can go elsewhere, whatever its class.
+            if self.open.is_empty() && !self.queue.is_empty() && has_ended(read.as_ref()) {
+                return None;
+            }
             self.fill().await;
             let free = self.open.is_empty() && self.probes.is_empty() && self.out.is_empty();
             if free && closed {
@@ -393,34 +441,27 @@
                     }
                     None => closed = true,
                 },
-                sent = write.write(&self.out), if !self.out.is_empty() => match sent {
-                    Ok(n) if n > 0 => {
-                        self.out.advance(n);
-                        self.written += n as u64;
-                        self.count_written().await;
+                _ = write.writable(), if !self.out.is_empty() => {
+                    self.drop_over().await;
+                    match write.try_write(&self.out) {
+                        Ok(n) => {
+                            self.out.advance(n);
+                            self.written += n as u64;
+                            self.count_written().await;
+                        }
+                        Err(error) if error.kind() == WouldBlock => {}
+                        Err(_) => return reader.answering().map(Into::into),
                     }
-                    _ => return reader.answering().map(Into::into),
-                },
+                }
                 got = read.read_buf(&mut buffer) => {
-                    if !matches!(got, Ok(n) if n > 0) {
+                    if !matches!(got, Ok(n) if n > 0) || !self.answers(&mut reader, &mut buffer).await {
                         return reader.answering().map(Into::into);
                     }
-                    used = Instant::now();
-                    (self.last_read, asked) = (used, 0);
-                    loop {
-                        match reader.next(&mut buffer) {
-                            Ok(Some(message)) => self.answer(message).await,
-                            Ok(None) => break,
-                            Err(error) => {
-                                tracing::warn!("server {:?}: {error}", read.peer_addr());
-                                return reader.answering().map(Into::into);
-                            }
-                        }
-                    }
+                    (used, asked) = (self.last_read, 0);
                 }
                 () = sleep_until(doubt.unwrap_or(used)), if doubt.is_some() => match asked {
                     _ if begun => {
-                        tracing::warn!("server {:?}: an answer was cut short", read.peer_addr());
+                        tracing::warn!("server {}: an answer was cut short", self.address);
                         return reader.answering().map(Into::into);
                     }
                     0 => {
@@ -435,7 +476,7 @@
                         asked = 2;
                     }
                     _ => {
-                        tracing::warn!("server {:?}: silent", read.peer_addr());
+                        tracing::warn!("server {}: silent", self.address);
                         return None;
                     }
                 },
@@ -444,6 +485,21 @@
         }
     }
 
+    /// Takes what has been read; whether it can be used.
+    async fn answers(&mut self, reader: &mut Reader, buffer: &mut BytesMut) -> bool {
+        self.last_read = Instant::now();
+        loop {
+            match reader.next(buffer) {
+                Ok(Some(message)) => self.answer(message).await,
+                Ok(None) => return true,
+                Err(error) => {
+                    tracing::warn!("server {}: {error}", self.address);
+                    return false;
+                }
+            }
+        }
+    }
+
     async fn answer(&mut self, message: lines::Message) {
         match message.content {
             Content::Probe(well, gauges) => {
@@ -498,7 +554,15 @@
         for number in std::mem::take(&mut self.probes).into_values() {
             self.reports.send(Message::Probed(number, Err(Broken::Written))).await;
         }
-        let unsent = std::mem::take(&mut self.queue).into();
+        let mut unsent: Vec<Order> = std::mem::take(&mut self.queue).into();
+        if self.written == 0 {
+            // Guards against a server that accepts and closes: placed anew, they would be so without an end.
+            for order in std::mem::take(&mut unsent) {
+                if let Order::Want(want) = order {
+                    self.report(want.ticket, Err(Broken::NotConnected)).await;
+                }
+            }
+        }
         if let Err(SendError(News::Closed(_, unsent))) =
             self.actor.send(News::Closed(self.number, unsent)).await
         {
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -157,3 +157,19 @@
         assert!(latest < 200.0, "{latest}");
     });
 }
+
+/// Waits grew with each break of a good connection that had no events, up to 0.8 s, and never shrank again.
+#[test]
+fn a_board_that_told_there_was_no_news_is_come_back_to_as_soon_each_time() {
+    local(async {
+        let board = Board::start(false).await;
+        let begun = std::time::Instant::now();
+        for _ in 0..8 {
+            let (mut stream, asked) = board.connection().await;
+            assert_eq!(asked, "watch 3\n");
+            stream.write_all(b"3\n").await.expect("a reader");
+        }
+        // Doubled each time it would be over 3 s.
+        assert!(begun.elapsed() < std::time::Duration::from_millis(1500), "{:?}", begun.elapsed());
+    });
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -62,6 +62,14 @@
 }
 
 fn site_with(told: Told) -> Site {
+    site_of(told, settings())
+}
+
+fn site_with_settings(settings: Settings) -> Site {
+    site_of(Told::default(), settings)
+}
+
+fn site_of(told: Told, settings: Settings) -> Site {
     let members = vec![
         listing("cache-1", "a", "edge", "cache"),
         listing("cache-2", "b", "edge", "cache"),
@@ -70,7 +78,7 @@
     ];
     let clock = Clock::starting_at(NOW);
     let known = vec![Message::Members { full: true, members }];
-    let core = core::start(settings(), 7, clock, told.clone(), known).expect("good settings").core;
+    let core = core::start(settings, 7, clock, told.clone(), known).expect("good settings").core;
     Site { core, told, clock }
 }
 
@@ -404,3 +412,52 @@
         });
     }
 }
+
+/// Guards other sites: an attempt may wait half of what they leave for heeding a drain or a purge, and one
+/// that servers are to throw away as a repeat no longer than they do.
+#[test]
+fn how_long_an_attempt_may_wait_follows_the_site_s_settings() {
+    for (drain, purge, wait) in [(1_000_000, 1_000_000, 500), (300_000, 0, 150), (900_000, 200_000, 100)] {
+        paused(async {
+            let site = site_with_settings(Settings { drain_grace: drain, purge_grace: purge, ..settings() });
+            let (_pending, now) = (site.core.ask(ask(1)), Instant::now());
+            settle().await;
+            let by = site.told.wants()[0].1.send_by;
+            assert_eq!(by.saturating_duration_since(now).as_millis(), wait, "{drain} {purge}");
+        });
+    }
+    paused(async {
+        let mut settings = settings();
+        settings.classes[0].effect = Effect::Keyed { scope: KeyScope::All, window: 400_000 };
+        let site = site_with_settings(settings);
+        let (_pending, first) = (site.core.ask(ask(0)), Instant::now());
+        settle().await;
+        sleep(Duration::from_millis(300)).await;
+        end(&site, site.told.wants()[0].1.ticket, Err(Broken::Written)).await;
+        let again = &site.told.wants()[1].1;
+        let by = again.send_by.saturating_duration_since(first).as_millis();
+        assert!((395..=400).contains(&by), "{by}");
+    });
+}
+
+/// Connections that came up late passed for a crowded link, so that fills were turned away: most where a
+/// third of them are late. The time counts from when the server had the request.
+#[test]
+fn what_an_attempt_waited_for_its_connection_is_no_sign_of_a_slow_server() {
+    paused(async {
+        let site = site();
+        for _ in 0..60 {
+            let pending = site.core.ask(Ask { object: site.core.fresh_id(), ..other(&site, 0) });
+            settle().await;
+            let (name, want) = site.told.wants().pop().expect("an attempt");
+            assert!(name.starts_with("cache") && want.via.as_deref() == Some("parent-1"), "{want:?}");
+            sleep(Duration::from_millis(350)).await;
+            site.core.reports().send(Message::Written(want.ticket)).await;
+            sleep(Duration::from_millis(60)).await;
+            let verdict = Verdict::Copy(Copy { tag: None, body: "bytes".into() });
+            end(&site, want.ticket, Ok(Reply { verdict, note: Note::Filled, waited: 0, gauges: Vec::new() }))
+                .await;
+            assert!(matches!(pending.await, Answer::Served(_)));
+        }
+    });
+}
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -2,9 +2,10 @@
 
 mod standin;
 
-use foxhold::core::Clock;
+use foxhold::api::Settings;
+use foxhold::core::{Answer, Cause, Clock};
 use foxhold::fronts::platform::Platform;
-use foxhold::fronts::serve::Closing;
+use foxhold::fronts::serve::{Closing, Front};
 use standin::*;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -302,3 +303,32 @@
         assert_ne!(send(&site.address, &get("00000000000000aa", "")).await.status, 409);
     });
 }
+
+/// Unchanged may only be said of the copy that the client has and a cache has named.
+#[test]
+fn an_answer_that_calls_another_copy_or_none_unchanged_is_spoilt() {
+    for says in ["ID NOMOD tag=bb,res=cached 0\r\n\r\n", "ID NOMOD res=cached 0\r\n\r\n"] {
+        local(async {
+            let site = site(Manner::Says(says)).await;
+            let answer = send(&site.address, &get("7f3a9c21e0b4d655", "If-None-Match: \"aa\"\r\n")).await;
+            assert!(![200, 304].contains(&answer.status), "{answer:?}");
+        });
+    }
+}
+
+/// Other sites heed less advice, or none.
+#[test]
+fn what_a_full_front_advises_is_no_more_than_clients_heed() {
+    local(async {
+        let ([_cache, ..], members) = trio(COPY).await;
+        for (retry_advice, most, told) in [(true, 300_000, Some("300")), (false, 300_000, None)] {
+            let settings = Settings { retry_advice, max_advice: most, ..settings() };
+            let core = start(settings, Clock::system(), members.clone());
+            let wait = Some(Duration::from_millis(500));
+            let refused = Platform(core).word(Answer::Refused { wait, cause: Cause::Busy });
+            let head = refused.head(true);
+            let advice = head.lines().find_map(|l| l.strip_prefix("X-Wait-Ms: "));
+            assert_eq!(advice, told, "{head}");
+        }
+    });
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -298,3 +298,41 @@
     assert_eq!((off.1, off.2), (1, false), "one thread, no socket for talk");
     assert_eq!((on.0, on.1, on.2), (off.0 + 1, 1, true), "one socket, no thread");
 }
+
+/// Guards against the program's end while a request is still coming: it was begun, but in nobody's hand yet.
+#[test]
+fn a_request_that_has_begun_to_come_when_the_program_is_to_end_is_answered() {
+    local(async {
+        let origin = Server::start(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
+        let path = file("begun", &config(&origin.address));
+        let mut child = start(&path);
+        let address = address(&mut child);
+        let mut client = TcpStream::connect(&address).await.expect("a listener");
+        let alive = "GET /alive HTTP/1.1\r\n\r\n";
+        client.write_all(alive.as_bytes()).await.expect("a reader");
+        client.read_exact(&mut [0; 15]).await.expect("an answer");
+        signal(&mut child, "TERM");
+        let begun = Instant::now();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let request = "PUT /ops/filing-submit/00000000000000aa HTTP/1.1\r\nX-Job-Id: 0000000000000001\r\n\
+                       X-Allow-Ms: 1500\r\nContent-Length: 4\r\n\r\n";
+        client.write_all(request.as_bytes()).await.expect("a reader");
+        // Until its listener is closed, and a while longer.
+        while TcpStream::connect(&address).await.is_ok() {
+            assert!(begun.elapsed() < Duration::from_secs(5), "it goes on");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        client.write_all(b"body").await.expect("a reader");
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).await.expect("an answer");
+        let text = String::from_utf8_lossy(&answer);
+        assert!(
+            text.contains("HTTP/1.1 200 OK\r\nContent-Length: 2") || text.ends_with("\r\n\r\nok"),
+            "{text}"
+        );
+        let status = tokio::task::spawn_blocking(move || child.child().wait()).await.expect("a thread");
+        assert!(status.expect("an end").success());
+        std::fs::remove_file(&path).expect("the file");
+    });
+}
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -38,7 +38,7 @@
         loop {
             match self.news.recv().await {
                 Some(Message::Ended(ticket, end)) => return (ticket.attempt, end),
-                Some(Message::Written) => self.written += 1,
+                Some(Message::Written(_)) => self.written += 1,
                 Some(Message::Forgotten(..)) => {}
                 other => panic!("{other:?}"),
             }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -184,6 +184,7 @@
         part: None,
         until,
         send_by: until,
+        over: Default::default(),
         via: None,
         keep: 0,
         max_age_ms: 0,
