--- a/tests/board.rs
+++ b/tests/board.rs
@@ -5,9 +5,13 @@
 use foxhold::core::{Message, Reports};
 use foxhold::sources::board;
 use standin::local;
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+const SOON: Duration = Duration::from_secs(5);
 
 struct Board {
     listener: TcpListener,
@@ -33,7 +37,8 @@
 
     /// The follower's next connection, and what it asks for.
     async fn connection(&self) -> (TcpStream, String) {
-        let (stream, _) = self.listener.accept().await.expect("a connection");
+        let accepted = timeout(SOON, self.listener.accept()).await.expect("a connection in time");
+        let (stream, _) = accepted.expect("a connection");
         let mut stream = BufReader::new(stream);
         let mut line = String::new();
         stream.read_line(&mut line).await.expect("a line");
@@ -42,7 +47,7 @@
 
     /// The object of the next purge that it reports.
     async fn purge(&mut self) -> String {
-        match self.news.recv().await {
+        match timeout(SOON, self.news.recv()).await.expect("news in time") {
             Some(Message::Purged { object: Some(object), .. }) => object.to_string(),
             other => panic!("{other:?}"),
         }
