Refuse what the listener still holds at the end of the program where no place is left

Cause: a connection in the listener's queue at the end was dropped where all places were taken, which resets its request unanswered; found by reading the mend of refused connections once more. Change: it is refused like any other beyond the places, and the refusal counts as open until it is written.

--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -105,18 +105,7 @@
             _ = closing.wait_for(|c| *c == Closing::Idle) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let Some(place) = places.enter() else {
-                    let (wait, cause) = (Some(Duration::from_millis(500)), Cause::Busy);
-                    let refusal = shared.1.word(Answer::Refused { wait, cause });
-                    match places.linger() {
-                        Some(place) => drop(tokio::task::spawn_local(refuse(stream, place, refusal))),
-                        None => turn_away(stream, &refusal),
-                    }
-                    continue;
-                };
-                begin(stream, place, &shared);
-            }
+            Ok((stream, _)) => begin(stream, &places, &shared),
             Err(error) => {
                 // Out of descriptors, most likely: others have to end first.
                 tracing::warn!("clients: accept: {error}");
@@ -128,15 +117,26 @@
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-        if let (Ok(stream), Some(place)) = (stream, places.enter()) {
-            begin(stream, place, &shared);
+        if let Ok(stream) = stream {
+            begin(stream, &places, &shared);
         }
     }
 }
 
-/// Serves a connection in a task of its own.
-fn begin<F: Front>(stream: TcpStream, place: Place, shared: &Rc<(Shared, F)>) {
+/// Serves a connection in a task of its own, or refuses it where there is no place.
+fn begin<F: Front>(stream: TcpStream, places: &Rc<Places>, shared: &Rc<(Shared, F)>) {
     let shared = shared.clone();
+    let Some(place) = places.enter() else {
+        let (wait, cause) = (Some(Duration::from_millis(500)), Cause::Busy);
+        let refusal = shared.1.word(Answer::Refused { wait, cause });
+        match places.linger() {
+            Some(place) => {
+                tokio::task::spawn_local(refuse(stream, place, refusal, shared.0.open.clone()));
+            }
+            None => turn_away(stream, &refusal),
+        }
+        return;
+    };
     tokio::task::spawn_local(async move {
         serve(stream, &place, &shared.0, &shared.1).await;
     });
@@ -144,9 +144,10 @@
 
 /// Refuses the first request of a connection for which there is no place, if one comes soon: a close before
 /// it has come, or over bytes that are not read, resets the connection, and the refusal with it.
-async fn refuse(mut stream: TcpStream, _place: Lingering, response: Response) {
+async fn refuse(mut stream: TcpStream, _place: Lingering, response: Response, open: Rc<Cell<usize>>) {
     let mut bytes = [0; 4096];
     if matches!(timeout(NEW, stream.read(&mut bytes)).await, Ok(Ok(n)) if n > 0) {
+        let _counted = Counted::new(&open); // the program does not end under it
         if stream.write_all(response.head(true).as_bytes()).await.is_err() || stream.shutdown().await.is_err()
         {
             return;
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -381,6 +381,32 @@
     String::from_utf8_lossy(&bytes[..bytes.len().min(12)]).into_owned()
 }
 
+/// What lies in the listener's queue at the end and finds no place was dropped, which resets it.
+#[test]
+fn a_connection_that_came_before_the_end_of_the_program_and_finds_no_place_is_refused() {
+    local(async {
+        let (_servers, members) = trio(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
+        let core = start(settings(), Clock::system(), members);
+        let front = front(&core, 0).await; // two places
+        let held: Vec<_> = (0..2).map(|_| std::net::TcpStream::connect(&front.address)).collect();
+        while front.places.waiting() < 2 {
+            tokio::task::yield_now().await;
+        }
+        for held in &held {
+            held.as_ref().expect("a front").write_all(b"GET ").expect("a reader");
+        }
+        while front.places.waiting() > 0 {
+            tokio::task::yield_now().await;
+        }
+        // With nothing run in between: a connection with a whole request, and the end of the program.
+        let mut client = std::net::TcpStream::connect(&front.address).expect("a front");
+        client.write_all(get(1).as_bytes()).expect("a reader");
+        front.close.send(Closing::Idle).expect("a front");
+        let text = read_all(client).await;
+        assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    });
+}
+
 /// A connection beyond all places is accepted before its request has come: the refusal was written at once
 /// and the connection closed, so that the request met a close, which resets the refusal with the rest.
 #[test]
