--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -475,7 +475,8 @@
         one.fill.is_some_and(|f| f.source != one.server)
     };
     // The first sizes told stand for their classes.
-    (filled(&mut g, 0, 1, 400.0), filled(&mut g, 2, 2, 40.0));
+    filled(&mut g, 0, 1, 400.0);
+    filled(&mut g, 2, 2, 40.0);
     for n in 0..4 {
         let request = Request { size_kb: 400.0, ..g.request(0, 30_000 + n) };
         let one = sent(&g.event(Event::Request(request)))[0].clone();
