--- a/tests/races.rs
+++ b/tests/races.rs
@@ -381,23 +381,30 @@
     String::from_utf8_lossy(&bytes[..bytes.len().min(12)]).into_owned()
 }
 
+/// A front whose two places are taken by connections with a request begun, so that none may make room.
+async fn full_front(core: &Core) -> (Front, Vec<std::net::TcpStream>) {
+    let front = front(core, 0).await;
+    let connect = |_| std::net::TcpStream::connect(&front.address).expect("a front");
+    let mut held: Vec<_> = (0..2).map(connect).collect();
+    while front.places.waiting() < 2 {
+        tokio::task::yield_now().await;
+    }
+    for held in &mut held {
+        held.write_all(b"GET ").expect("a reader");
+    }
+    while front.places.waiting() > 0 {
+        tokio::task::yield_now().await;
+    }
+    (front, held)
+}
+
 /// What lies in the listener's queue at the end and finds no place was dropped, which resets it.
 #[test]
 fn a_connection_that_came_before_the_end_of_the_program_and_finds_no_place_is_refused() {
     local(async {
         let (_servers, members) = trio(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
         let core = start(settings(), Clock::system(), members);
-        let front = front(&core, 0).await; // two places
-        let held: Vec<_> = (0..2).map(|_| std::net::TcpStream::connect(&front.address)).collect();
-        while front.places.waiting() < 2 {
-            tokio::task::yield_now().await;
-        }
-        for held in &held {
-            held.as_ref().expect("a front").write_all(b"GET ").expect("a reader");
-        }
-        while front.places.waiting() > 0 {
-            tokio::task::yield_now().await;
-        }
+        let (front, _held) = full_front(&core).await;
         // With nothing run in between: a connection with a whole request, and the end of the program.
         let mut client = std::net::TcpStream::connect(&front.address).expect("a front");
         client.write_all(get(1).as_bytes()).expect("a reader");
@@ -414,18 +421,7 @@
     local(async {
         let (servers, members) = trio(Manner::Says("ID ACK - 2\r\nok\r\n")).await;
         let core = start(settings(), Clock::system(), members);
-        let front = front(&core, 0).await; // two places, and none may make room
-        let held: Vec<_> = (0..2).map(|_| std::net::TcpStream::connect(&front.address)).collect();
-        while front.places.waiting() < 2 {
-            tokio::task::yield_now().await;
-        }
-        // Both have a request begun, so that neither is idle.
-        for held in &held {
-            held.as_ref().expect("a front").write_all(b"GET ").expect("a reader");
-        }
-        while front.places.waiting() > 0 {
-            tokio::task::yield_now().await;
-        }
+        let (front, _held) = full_front(&core).await;
         for n in 0..8 {
             let mut client = TcpStream::connect(&front.address).await.expect("a front");
             // Accepted and seen to find no place before a byte of the request is written.
