Have the laboratory's updates to directors acknowledged, and send again what was not

Cause, seen in a trial that printed what director 0 showed and /proc/net/udp after each of the 20 rounds of the full-disk test (debug build, load average 11 to 18): after the first write that failed, a call at the director's door took 0.5 to 1.5 s, and the drops of its own socket grew from 140 to 867, 1784, 2919 ... 7232, while those of its relay stayed 0. Its loop encodes the whole state again every 200 ms while the disk is full, so its receive buffer (212,992 bytes) overflows. Each round also gave the purges a new time, so that what the director had was news again: 85,361 entries taken for 40,000, and 53,408 rumours without room.

Change: a module test_client in place of talk_play's Friend. A batch of 64 updates is followed by a Pull of the range of places that it lies in; the Chunk that answers acknowledges what it holds. The rest is sent again unchanged, after 250 ms at first and 2 s at most, 20 times in a row without progress, 8 batches outstanding, 60 s in all. The directors' protocol is as it was. An unacknowledged flood is left for the test that wants entries turned down. Tests: the client's names and awaits only, no assertion.

--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`storm`] | a play of drawn faults among directors that talk |
 //! | [`talk`] | directors that talk among themselves, and the ways between them |
 //! | [`talk_play`] | what their talk costs, and how fast a word is with all |
+//! | [`test_client`] | a client that delivers updates to directors, acknowledged |
 //! | [`fleet`] | stand-in caches, parents, origin and notice board within this process |
 //! | [`overhead`] | what the director costs a request, as daemon and as library |
 //! | [`trace`] | traces of requests and troubles: the file, and how one is drawn |
@@ -32,4 +33,5 @@
 pub mod storm;
 pub mod talk;
 pub mod talk_play;
+pub mod test_client;
 pub mod trace;
--- a/crates/foxhold-lab/src/talk.rs
+++ b/crates/foxhold-lab/src/talk.rs
@@ -391,6 +391,11 @@
         Ok(serde_json::from_str(answer.lines().next().unwrap_or_default())?)
     }
 
+    /// Purges that a director says it holds.
+    pub async fn purges_held(&self, n: usize) -> Result<u64, Failure> {
+        Ok(self.shown(n).await?["entries"]["purges"].as_u64().unwrap_or(0))
+    }
+
     /// Waits until some directors hold a kind of state that pleases, all of them; how long that took.
     pub async fn until(
         &self,
--- a/crates/foxhold-lab/src/talk_play.rs
+++ b/crates/foxhold-lab/src/talk_play.rs
@@ -2,13 +2,9 @@
 
 use crate::replay::Failure;
 use crate::talk::{Fleet, Setup, Way};
-use foxhold::peers::frame::{Body, Message, Seal};
-use foxhold::peers::members::Member;
-use foxhold::replica::talk::Say;
-use foxhold::replica::word::{Key, Word};
+use crate::test_client::TestClient;
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -107,7 +103,7 @@
     fleet.start_some(&[1]).await?;
     let quiet = alive(fleet.clients(1)?, Duration::from_secs(2)).await?;
     fleet.kill(1).await;
-    Friend::new(&fleet)?.fill(&fleet, 0, entries).await?;
+    TestClient::open(&fleet).await?.fill(&fleet, 0, entries).await?;
     // Nobody can catch up from one that is not sure itself that it has all.
     while fleet.ask(0, "check").await? == "YES catching up\n" {
         sleep(Duration::from_millis(50)).await;
@@ -129,7 +125,7 @@
         sleep(Duration::from_millis(5)).await;
     }
     Ok(CaughtUp {
-        entries: purges_held(&fleet, 1).await?,
+        entries: fleet.purges_held(1).await?,
         ms: took.as_secs_f64() * 1e3,
         memory_mb: fleet.memory(0).unwrap_or(0.0),
         quiet,
@@ -156,69 +152,6 @@
     Ok(times(&all))
 }
 
-async fn purges_held(fleet: &Fleet, n: usize) -> Result<u64, Failure> {
-    Ok(fleet.shown(n).await?["entries"]["purges"].as_u64().unwrap_or(0))
-}
-
-/// Someone with a fleet's key who tells directors of many purges.
-pub struct Friend {
-    socket: std::net::UdpSocket,
-    seal: Seal,
-    from: Member,
-    number: u64,
-}
-
-impl Friend {
-    /// Of this fleet.
-    pub fn new(fleet: &Fleet) -> Result<Friend, Failure> {
-        let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
-        let from = Member::new("friend", socket.local_addr()?, 1);
-        let seal = Seal::new("lab", &fleet.keys()?).ok_or("no key")?;
-        Ok(Friend { socket, seal, from, number: 0 })
-    }
-
-    /// Seals a message as the next of this sender.
-    pub fn sealed(&mut self, say: Say) -> Result<Vec<u8>, Failure> {
-        self.number += 1;
-        let message = Message { from: self.from.clone(), run: 1, number: self.number, body: Body::Say(say) };
-        self.seal.seal(&message).ok_or_else(|| "a message is too large".into())
-    }
-
-    /// Sends bytes as they are.
-    pub fn send(&self, to: SocketAddr, datagram: &[u8]) -> Result<(), Failure> {
-        self.socket.send_to(datagram, to)?;
-        Ok(())
-    }
-
-    /// Tells a director of so many purges, again and again until it holds them all.
-    pub async fn fill(&mut self, fleet: &Fleet, n: usize, entries: u32) -> Result<(), Failure> {
-        for _ in 0..20 {
-            self.purges(fleet.reached_at(n), 0..entries).await?;
-            sleep(Duration::from_millis(200)).await;
-            if purges_held(fleet, n).await? >= u64::from(entries) {
-                return Ok(());
-            }
-        }
-        Err(format!("director {n} holds {} of {entries}", purges_held(fleet, n).await?).into())
-    }
-
-    /// Tells of purges of groups, at a pace that a socket's buffer bears; some may be lost all the same.
-    pub async fn purges(&mut self, to: SocketAddr, groups: std::ops::Range<u32>) -> Result<(), Failure> {
-        // Of a minute ago, as most are that one who returns hears of.
-        let at = (crate::standin::unix_ms() - 60_000) * 1_000;
-        let groups: Vec<u32> = groups.collect();
-        for (n, some) in groups.chunks(80).enumerate() {
-            let words = some.iter().map(|g| (Key::Group(*g), Word::Purged(at))).collect();
-            let datagram = self.sealed(Say::Words(words))?;
-            self.send(to, &datagram)?;
-            if n % 2 == 0 {
-                sleep(Duration::from_millis(4)).await;
-            }
-        }
-        Ok(())
-    }
-}
-
 fn times(all: &Histogram<u64>) -> Times {
     let ms = |us: u64| us as f64 / 1e3;
     Times {
--- a/crates/foxhold-lab/tests/talk.rs
+++ b/crates/foxhold-lab/tests/talk.rs
@@ -6,7 +6,7 @@
 use foxhold::replica::talk::Say;
 use foxhold::replica::word::{Key, Word};
 use foxhold_lab::talk::{Fleet, Setup, Way};
-use foxhold_lab::talk_play::Friend;
+use foxhold_lab::test_client::TestClient;
 use rustix::process::Signal;
 use std::future::Future;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -285,7 +285,12 @@
 fn one_that_is_killed_in_the_midst_of_catching_up_and_one_whose_source_is_killed_end_with_all() {
     local(async {
         let mut fleet = fleet(5, "", false).await;
-        Friend::new(&fleet).expect("a friend").fill(&fleet, 0, 20_000).await.expect("it takes them");
+        TestClient::open(&fleet)
+            .await
+            .expect("a client")
+            .fill(&fleet, 0, 20_000)
+            .await
+            .expect("it takes them");
         let begun = std::time::Instant::now();
         loop {
             let mut held = Vec::new();
@@ -325,7 +330,12 @@
         told(&fleet, 1, "drain cache-1").await;
         sleep(Duration::from_millis(600)).await;
         assert!(count(&fleet, 0, &["counts", "disk_written"]).await > 0, "it was written at first");
-        Friend::new(&fleet).expect("a friend").fill(&fleet, 0, 40_000).await.expect("it takes them");
+        TestClient::open(&fleet)
+            .await
+            .expect("a client")
+            .fill(&fleet, 0, 40_000)
+            .await
+            .expect("it takes them");
         let begun = std::time::Instant::now();
         while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
             assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("a door"));
@@ -357,18 +367,20 @@
         let before = same(&fleet, &all(&fleet), s(5)).await;
         let to = fleet.reached_at(0);
         let words = || Say::Words(vec![(Key::Group(1), Word::Purged(unix()))]);
-        let mut friend = Friend::new(&fleet).expect("a friend");
-        let send = |friend: &Friend, bytes: &[u8]| friend.send(to, bytes).expect("loopback");
+        let mut client = TestClient::open(&fleet).await.expect("a client");
         for _ in 0..50 {
-            send(&friend, &sealed("lab", &[9; 32], words()));
-            send(&friend, &sealed("elsewhere", &fleet.keys().expect("keys")[0], words()));
-            send(&friend, &[3; 200]);
-            send(&friend, &[1; 4]);
+            client.send(to, &sealed("lab", &[9; 32], words())).await.expect("loopback");
+            client
+                .send(to, &sealed("elsewhere", &fleet.keys().expect("keys")[0], words()))
+                .await
+                .expect("loopback");
+            client.send(to, &[3; 200]).await.expect("loopback");
+            client.send(to, &[1; 4]).await.expect("loopback");
         }
         // A good message that is sent once more.
-        let good = friend.sealed(Say::Words(vec![(Key::Group(2), Word::Purged(unix()))])).expect("small");
-        send(&friend, &good);
-        send(&friend, &good);
+        let good = client.sealed(Say::Words(vec![(Key::Group(2), Word::Purged(unix()))])).expect("small");
+        client.send(to, &good).await.expect("loopback");
+        client.send(to, &good).await.expect("loopback");
         fleet
             .until(&all(&fleet), "purges", s(5), |s| s.len() == 1 && has(s, "group 2"))
             .await
@@ -379,7 +391,7 @@
         assert_eq!(fleet.state(0, "drains").await, Some(before.clone()));
         // Entries without end, from one with the key: bounded, counted, and drains stay.
         while count(&fleet, 0, &["turned_down", "entry_full"]).await < 10_000 {
-            friend.purges(to, 10..20_000).await.expect("loopback");
+            client.flood(to, 10..20_000).await.expect("loopback");
         }
         sleep(s(1)).await;
         for n in all(&fleet) {
