Retry writing the whole state every 5 s after a failed write, not every 200 ms

With 35,000 entries (debug build, load average 11 to 18) a call at its door took 0.5 to 1.5 s, and its receive buffer overflowed.

Change: the first write of the whole follows a failed one at once; while it does not succeed the next is tried after 5 s.

Not run: a disk that gets room again under a running director.

--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -46,6 +46,9 @@
 /// Changes are written to the disk every so often, and the time at least.
 const WRITE: Duration = Duration::from_millis(200);
 const WRITE_TIME: Duration = Duration::from_secs(5);
+/// After a write that failed all is written anew, and tried again this often: the actor does nothing else
+/// while it encodes all entries.
+const WHOLE_WRITE_RETRY: Duration = Duration::from_secs(5);
 /// An operator's word that the core could not take is told anew after this.
 const AGAIN: Duration = Duration::from_millis(250);
 /// Two under one name are told of when both have been there for this long: one that has just moved is not
@@ -540,8 +543,8 @@
 
     fn write(&mut self, at: Instant) {
         let Some(store) = &self.store else { return };
-        self.next_write = at + WRITE;
         let whole = store.told.lacking.load(std::sync::atomic::Ordering::Relaxed);
+        self.next_write = at + if whole { WHOLE_WRITE_RETRY } else { WRITE };
         if self.dirty.is_empty() && !whole && at - self.written_at < WRITE_TIME {
             return;
         }
