Move the network between directors into a module of its own in the laboratory

Cause: harness.rs and talk.rs imported each other: the one for the relays between directors, the other for child processes.

Change: relays, paths and the call at the admin endpoint are in peer_network, which imports neither; talk holds the directors' processes. harness.rs, plan.rs and storm.rs change in imports only.

--- a/crates/foxhold-lab/src/harness.rs
+++ b/crates/foxhold-lab/src/harness.rs
@@ -5,12 +5,12 @@
 
 use crate::load::{draw, object, Clients, Purged};
 use crate::model::{Role, Spec};
+use crate::peer_network::{call, LinkConditions as Way, Relays};
 use crate::plan::{Breach, Fault, Plan, What};
-use crate::relay::{Hurt, Link};
+use crate::relay::{Link, LinkFault as Hurt};
 use crate::replay::Failure;
 use crate::report::{Played, Seen};
 use crate::standin::{unix_ms, Kind, Noted, Start, Told};
-use crate::talk::{call, Relays, Way};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::{kill_process, Pid, Signal};
--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -4,13 +4,14 @@
 //! | --- | --- |
 //! | [`model`] | what a stand-in server can do and hold; no clock, no I/O |
 //! | [`standin`] | one stand-in server on a socket, as a process or a task |
-//! | [`relay`] | a link between two processes, hurt and healed |
+//! | [`relay`] | a link between two processes, and the faults injected into it |
 //! | [`plan`] | a play of many processes as data: who takes part, what is asked, what goes wrong |
 //! | [`load`] | an open-loop load, and what comes back held against the rules |
 //! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
 //! | [`report`] | its figures as JSON, and one page with plots |
 //! | [`storm`] | a play of drawn faults among directors that talk |
-//! | [`talk`] | directors that talk among themselves, and the ways between them |
+//! | [`peer_network`] | the relays between directors that share state, and the paths between them |
+//! | [`talk`] | a fleet of such directors, as processes |
 //! | [`talk_play`] | what their talk costs, and how fast a word is with all |
 //! | [`test_client`] | a client that delivers updates to directors, acknowledged |
 //! | [`fleet`] | stand-in caches, parents, origin and notice board within this process |
@@ -25,6 +26,7 @@
 pub mod load;
 pub mod model;
 pub mod overhead;
+pub mod peer_network;
 pub mod plan;
 pub mod relay;
 pub mod replay;
--- /dev/null
+++ b/crates/foxhold-lab/src/peer_network.rs
@@ -0,0 +1,208 @@
+//! The network between the directors of a fleet: a relay for each director, by which the messages on every path between
+//! two of them can be lost, duplicated or delayed.
+//!
+//! Each director has a loopback address of its own and is advertised at its relay's, so all that the others send to it
+//! passes there; who sends is known by the address that a datagram comes from.
+
+use crate::replay::Failure;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::task::JoinSet;
+
+/// Where a director receives its peers' messages, its relay receives them for it, and its admin endpoint is.
+const PEER_PORT: u16 = 7301;
+const RELAY_PORT: u16 = 7302;
+const ADMIN_PORT: u16 = 7303;
+/// Directors of one fleet at most.
+pub const MAX_DIRECTORS: usize = 1_000;
+/// Directors that share the third byte of their addresses.
+const DIRECTORS_PER_SUBNET: usize = 250;
+/// Seeds that each director is given.
+const SEEDS: usize = 3;
+/// One call at an admin endpoint.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// A relay's receive buffer; no director sends larger datagrams.
+const RELAY_BUFFER_BYTES: usize = 16 * 1024;
+
+/// What happens to messages on the path from one director to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LinkConditions {
+    /// The share that is lost; 1: a partition.
+    pub lost: f64,
+    /// The share that is duplicated.
+    pub twice: f64,
+    /// Each copy is delayed by up to so many milliseconds, so that copies are reordered.
+    pub late_ms: u64,
+}
+
+impl LinkConditions {
+    /// Every message is lost.
+    pub const CUT: LinkConditions = LinkConditions { lost: 1.0, twice: 0.0, late_ms: 0 };
+}
+
+/// The paths between all directors of a fleet.
+pub struct Network {
+    paths: RefCell<HashMap<(usize, usize), LinkConditions>>,
+    default_conditions: Cell<LinkConditions>,
+    random: RefCell<StdRng>,
+    /// Datagrams and bytes that arrived at each.
+    arrived: RefCell<Vec<(u64, u64)>>,
+}
+
+impl Network {
+    /// Sets the conditions of the path from one director to another.
+    pub fn set(&self, from: usize, to: usize, conditions: LinkConditions) {
+        self.paths.borrow_mut().insert((from, to), conditions);
+    }
+
+    /// Sets the conditions of all paths, those set one by one too.
+    pub fn set_all(&self, conditions: LinkConditions) {
+        self.paths.borrow_mut().clear();
+        self.default_conditions.set(conditions);
+    }
+
+    /// Partitions some directors from the others, in both directions.
+    pub fn cut(&self, some: &[usize], others: &[usize]) {
+        for (a, b) in some.iter().flat_map(|a| others.iter().map(move |b| (*a, *b))) {
+            self.set(a, b, LinkConditions::CUT);
+            self.set(b, a, LinkConditions::CUT);
+        }
+    }
+
+    /// Datagrams and bytes that arrived at a director so far.
+    pub fn arrived(&self, at: usize) -> (u64, u64) {
+        self.arrived.borrow()[at]
+    }
+
+    fn conditions(&self, from: usize, to: usize) -> LinkConditions {
+        self.paths.borrow().get(&(from, to)).copied().unwrap_or(self.default_conditions.get())
+    }
+}
+
+/// The relays of a fleet, and what of its directors' settings goes by them.
+pub struct Relays {
+    number: u8,
+    directors: usize,
+    /// The paths between them.
+    pub net: Rc<Network>,
+    _tasks: JoinSet<()>,
+}
+
+impl Relays {
+    /// Opens a relay for each director, and writes the fleet's key into a folder. Needs a `LocalSet`.
+    pub async fn open(directors: usize, seed: u64, folder: &Path) -> Result<Relays, Failure> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        if directors > MAX_DIRECTORS {
+            return Err(format!("{directors} directors: {MAX_DIRECTORS} at most").into());
+        }
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) as u8;
+        std::fs::write(folder.join("peers.key"), format!("{}\n", "c2VjcmV0".repeat(5)))?;
+        let net = Rc::new(Network {
+            paths: RefCell::default(),
+            default_conditions: Cell::default(),
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
+            arrived: RefCell::new(vec![(0, 0); directors]),
+        });
+        let mut tasks = JoinSet::new();
+        for n in 0..directors {
+            let socket = UdpSocket::bind((ip(number, n), RELAY_PORT)).await?;
+            tasks.spawn_local(relay(Rc::new(socket), net.clone(), number, n));
+        }
+        Ok(Relays { number, directors, net, _tasks: tasks })
+    }
+
+    /// Where others reach a director.
+    pub fn reached_at(&self, n: usize) -> SocketAddr {
+        (ip(self.number, n), RELAY_PORT).into()
+    }
+
+    /// A director's admin endpoint.
+    pub fn door(&self, n: usize) -> SocketAddr {
+        (ip(self.number, n), ADMIN_PORT).into()
+    }
+
+    /// A director's operator's file, with further keys of the section `peers`.
+    pub fn operator(&self, n: usize, keys: &str) -> String {
+        let seeds: Vec<String> =
+            (0..self.directors.min(SEEDS)).map(|s| format!("\"{}\"", self.reached_at(s))).collect();
+        format!(
+            "peers: {{listen: \"{}:{PEER_PORT}\", advertise: \"{}\", name: director-{n}, fleet: lab, \
+             key: peers.key, about: {}, seeds: [{}]{}{keys}}}\n",
+            ip(self.number, n),
+            self.reached_at(n),
+            self.directors,
+            seeds.join(", "),
+            if keys.is_empty() { "" } else { ", " },
+        )
+    }
+}
+
+/// The loopback address of a director: fleets of one process, and of two processes side by side, do not meet.
+fn ip(fleet: u8, n: usize) -> Ipv4Addr {
+    let process = 16 + (std::process::id() % 200) as u8;
+    Ipv4Addr::new(
+        127,
+        process,
+        fleet.wrapping_mul(4).wrapping_add((n / DIRECTORS_PER_SUBNET) as u8),
+        (n % DIRECTORS_PER_SUBNET + 1) as u8,
+    )
+}
+
+/// The director of a loopback address: [`ip`] the other way round.
+fn director_at(fleet: u8, ip: Ipv4Addr) -> usize {
+    let [_, _, third, last] = ip.octets();
+    let subnet = third.wrapping_sub(fleet.wrapping_mul(4));
+    usize::from(subnet) * DIRECTORS_PER_SUBNET + usize::from(last) - 1
+}
+
+/// One call at a director's admin endpoint.
+pub async fn call(admin: SocketAddr, line: &str) -> Result<String, Failure> {
+    let whole = async {
+        let mut stream = TcpStream::connect(admin).await?;
+        stream.write_all(format!("{line}\n").as_bytes()).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        Ok::<String, Failure>(answer)
+    };
+    tokio::time::timeout(CALL_TIMEOUT, whole).await?
+}
+
+/// Forwards what is sent to one director, under the conditions of the path from its sender.
+async fn relay(socket: Rc<UdpSocket>, network: Rc<Network>, number: u8, to: usize) {
+    let target = SocketAddr::from((ip(number, to), PEER_PORT));
+    let mut bytes = vec![0; RELAY_BUFFER_BYTES];
+    loop {
+        let Ok((size, from)) = socket.recv_from(&mut bytes).await else { continue };
+        let SocketAddr::V4(v4) = from else { continue };
+        let conditions = network.conditions(director_at(number, *v4.ip()), to);
+        let draw = |share: f64| share > 0.0 && network.random.borrow_mut().random::<f64>() < share;
+        if draw(conditions.lost) {
+            continue;
+        }
+        let copies = if draw(conditions.twice) { 2 } else { 1 };
+        for _ in 0..copies {
+            if let Some(seen) = network.arrived.borrow_mut().get_mut(to) {
+                *seen = (seen.0 + 1, seen.1 + size as u64);
+            }
+            if conditions.late_ms == 0 {
+                let _ = socket.try_send_to(&bytes[..size], target);
+                continue;
+            }
+            let late = network.random.borrow_mut().random_range(0..=conditions.late_ms);
+            let (socket, copy) = (socket.clone(), bytes[..size].to_vec());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(late)).await;
+                let _ = socket.try_send_to(&copy, target);
+            });
+        }
+    }
+}
--- a/crates/foxhold-lab/src/plan.rs
+++ b/crates/foxhold-lab/src/plan.rs
@@ -12,7 +12,7 @@
 //!   - {at: 2, do: hot, share: 0.25, object: 9001}
 //! ```
 
-use crate::relay::Hurt;
+use crate::relay::LinkFault as Hurt;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
--- a/crates/foxhold-lab/src/storm.rs
+++ b/crates/foxhold-lab/src/storm.rs
@@ -35,7 +35,7 @@
         what,
         who: String::new(),
         to: String::new(),
-        hurt: crate::relay::Hurt::None,
+        hurt: crate::relay::LinkFault::None,
         share: 0.0,
         object: 0,
         times: 0.0,
--- a/crates/foxhold-lab/src/talk_play.rs
+++ b/crates/foxhold-lab/src/talk_play.rs
@@ -1,7 +1,8 @@
 //! What directors that talk cost and how fast a word is with all of them, at any number: `foxhold-lab talk`.
 
+use crate::peer_network::LinkConditions;
 use crate::replay::Failure;
-use crate::talk::{Fleet, Setup, Way};
+use crate::talk::{Fleet, FleetConfig};
 use crate::test_client::TestClient;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -98,7 +99,8 @@
 /// One director holds so many purges; another starts, catches up, and is asked meanwhile.
 pub async fn catch_up(director: &Path, entries: u32) -> Result<CaughtUp, Failure> {
     let keys = format!("entries: {}", entries.max(1_000) * 2);
-    let mut fleet = Fleet::prepare(director, Setup { directors: 2, keys, ..Setup::default() }).await?;
+    let mut fleet =
+        Fleet::prepare(director, FleetConfig { directors: 2, keys, ..FleetConfig::default() }).await?;
     fleet.start_some(&[0]).await?;
     fleet.start_some(&[1]).await?;
     let quiet = alive(fleet.clients(1)?, Duration::from_secs(2)).await?;
@@ -190,7 +192,7 @@
 
 /// Plays it. Needs a `LocalSet`; all directors are ended when it is dropped.
 pub async fn play(director: &Path, play: &Play) -> Result<Measured, Failure> {
-    let setup = Setup { directors: play.directors, seed: play.seed, ..Setup::default() };
+    let setup = FleetConfig { directors: play.directors, seed: play.seed, ..FleetConfig::default() };
     let begun = Instant::now();
     let fleet = Fleet::start(director, setup).await?;
     let everyone: Vec<usize> = (0..fleet.len()).collect();
@@ -198,7 +200,7 @@
     let joined_s = begun.elapsed().as_secs_f64();
     // News of who joined dies down.
     sleep(Duration::from_secs(5)).await;
-    fleet.net.set_all(Way { lost: play.lost, ..Way::default() });
+    fleet.net.set_all(LinkConditions { lost: play.lost, ..LinkConditions::default() });
     let meter = Meter::read(&fleet);
     sleep(Duration::from_secs(play.seconds)).await;
     let idle = meter.since(&fleet);
--- a/crates/foxhold-lab/src/test_client.rs
+++ b/crates/foxhold-lab/src/test_client.rs
@@ -10,7 +10,7 @@
 use crate::replay::Failure;
 use crate::standin::unix_ms;
 use crate::talk::Fleet;
-use foxhold::peers::frame::{Body, Message, Seal, LARGEST};
+use foxhold::peers::frame::{Body, Message, Seal};
 use foxhold::peers::members::Member;
 use foxhold::replica::digest::hash;
 use foxhold::replica::talk::Say;
@@ -39,6 +39,8 @@
 /// An unacknowledged flood: updates in a datagram, and the pause after every second one.
 const FLOOD_UPDATES: usize = 80;
 const FLOOD_PAUSE: Duration = Duration::from_millis(4);
+/// No director sends larger datagrams.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Why updates were not delivered.
 #[derive(Debug, thiserror::Error)]
@@ -219,7 +221,7 @@
         let deadline = Instant::now() + DELIVERY_TIMEOUT;
         let mut delivery = Delivery::new(updates);
         let mut delivered = Delivered::default();
-        let mut buffer = vec![0; LARGEST];
+        let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
         loop {
             delivery.admit();
             self.send_due(to, &mut delivery, &mut delivered).await?;
--- a/crates/foxhold-lab/tests/talk.rs
+++ b/crates/foxhold-lab/tests/talk.rs
@@ -5,7 +5,8 @@
 use foxhold::peers::members::Member;
 use foxhold::replica::talk::Say;
 use foxhold::replica::word::{Key, Word};
-use foxhold_lab::talk::{Fleet, Setup, Way};
+use foxhold_lab::peer_network::LinkConditions;
+use foxhold_lab::talk::{Fleet, FleetConfig};
 use foxhold_lab::test_client::TestClient;
 use rustix::process::Signal;
 use std::future::Future;
@@ -19,9 +20,9 @@
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
-async fn fleet(directors: usize, keys: &str, lasting: bool) -> Fleet {
-    let setup = Setup { directors, keys: keys.into(), lasting, seed: 7, ..Setup::default() };
-    let fleet = Fleet::start(&common::daemon(), setup).await.expect("a fleet");
+async fn fleet(directors: usize, keys: &str, persistent: bool) -> Fleet {
+    let config = FleetConfig { directors, keys: keys.into(), persistent, seed: 7, ..FleetConfig::default() };
+    let fleet = Fleet::start(&common::daemon(), config).await.expect("a fleet");
     fleet.joined(&all(&fleet), directors - 1, s(20)).await.expect("they meet");
     fleet
 }
@@ -139,7 +140,7 @@
         for n in 3..6 {
             assert_eq!(fleet.state(n, "purges").await, Some(Vec::new()), "the ways are cut");
         }
-        fleet.net.set_all(Way::default());
+        fleet.net.set_all(LinkConditions::default());
         let took = fleet.until(&[3, 4, 5], "purges", s(5), |s| has(s, "7f3a9c21e0b4d655")).await;
         println!("all had the purge {:?} after the ways were back", took.expect("they hear"));
     });
@@ -169,7 +170,7 @@
         told(&fleet, 5, "undrain parent-1").await;
         told(&fleet, 2, "drain cache-1").await;
         told(&fleet, 2, "purge group 9").await;
-        fleet.net.set_all(Way::default());
+        fleet.net.set_all(LinkConditions::default());
         let healed = std::time::Instant::now();
         fleet.joined(&all(&fleet), 5, s(20)).await.expect("they meet again");
         let drains = same(&fleet, &all(&fleet), s(10)).await;
@@ -183,9 +184,9 @@
 fn over_ways_that_lose_a_fifth_double_some_and_are_late_all_come_to_one_state() {
     local(async {
         let fleet = fleet(5, "", false).await;
-        fleet.net.set_all(Way { lost: 0.2, twice: 0.2, late_ms: 2_000 });
+        fleet.net.set_all(LinkConditions { lost: 0.2, twice: 0.2, late_ms: 2_000 });
         // One way between two is gone altogether.
-        fleet.net.set(0, 1, Way::CUT);
+        fleet.net.set(0, 1, LinkConditions::CUT);
         for n in 0..20 {
             let server = ["cache-1", "cache-2", "parent-1"][n % 3];
             let word = if n % 4 == 3 { "undrain" } else { "drain" };
@@ -324,8 +325,13 @@
 #[test]
 fn a_full_disk_stops_writing_is_counted_and_never_stops_serving_and_leaves_sound_data() {
     local(async {
-        let setup = Setup { directors: 3, lasting: true, disk_kb: Some(1_600), ..Setup::default() };
-        let mut fleet = Fleet::start(&common::daemon(), setup).await.expect("a fleet");
+        let config = FleetConfig {
+            directors: 3,
+            persistent: true,
+            file_limit_kb: Some(1_600),
+            ..FleetConfig::default()
+        };
+        let mut fleet = Fleet::start(&common::daemon(), config).await.expect("a fleet");
         fleet.joined(&all(&fleet), 2, s(20)).await.expect("they meet");
         told(&fleet, 1, "drain cache-1").await;
         sleep(Duration::from_millis(600)).await;
@@ -346,7 +352,7 @@
         fleet.until(&all(&fleet), "drains", s(2), |s| has(s, "cache-2 drains")).await.expect("it talks");
         assert!(fleet.log(0).contains("the state can't be written"), "{}", fleet.log(0));
         // What is on the disk is sound: the state of some earlier moment.
-        fleet.disk_has_room();
+        fleet.lift_file_limit();
         fleet.kill(0).await;
         fleet.start_some(&[0]).await.expect("it starts");
         let log = fleet.log(0);
