Give each command of the laboratory a module of its own, and split the longest steps

Cause: main::run was one function of 97 lines with the options and steps of all commands, and talk_play::play one of 65.

--- /dev/null
+++ b/crates/foxhold-lab/src/command/overhead.rs
@@ -0,0 +1,62 @@
+//! `overhead`: what the director costs a request.
+
+use foxhold_lab::fleet::Fleet;
+use foxhold_lab::overhead::{through_daemon, through_library, Cost};
+use foxhold_lab::replay::Failure;
+use std::path::PathBuf;
+
+/// One server in so many is a parent.
+const SERVERS_PER_PARENT: usize = 10;
+
+/// Options of `overhead`.
+#[derive(clap::Args)]
+pub struct Options {
+    /// The daemon's program
+    #[arg(long, default_value = "target/release/foxhold")]
+    daemon: PathBuf,
+    /// Requests of each
+    #[arg(long, default_value_t = 40_000)]
+    requests: usize,
+    /// Servers in all: nine caches in ten
+    #[arg(long, default_value_t = 200)]
+    servers: usize,
+    /// Objects asked for in turn
+    #[arg(long, default_value_t = 1_000)]
+    objects: usize,
+    /// Requests under way at a time
+    #[arg(long, default_value_t = 16)]
+    at_once: usize,
+}
+
+/// Measures both before the same stand-ins, and prints their figures.
+pub fn run(options: &Options) -> Result<bool, Failure> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let (daemon, library) = runtime.block_on(measure(options))?;
+    print_cost("daemon", &daemon);
+    print_cost("library", &library);
+    println!(
+        "library to daemon: rate {:.2}, p50 {:.2}, p99 {:.2}, processor {:.2}",
+        library.rate / daemon.rate,
+        library.p50 as f64 / daemon.p50 as f64,
+        library.p99 as f64 / daemon.p99 as f64,
+        library.cpu / daemon.cpu
+    );
+    Ok(true)
+}
+
+async fn measure(options: &Options) -> Result<(Cost, Cost), Failure> {
+    let Options { daemon, requests, servers, objects, at_once } = options;
+    let parents = (servers / SERVERS_PER_PARENT).max(1);
+    let caches = servers.saturating_sub(parents + 1).max(1);
+    let fleet = Fleet::start(caches, parents).await?;
+    let daemon = through_daemon(daemon, &fleet, *requests, *at_once, *objects).await?;
+    let library = through_library(&fleet, *requests, *at_once, *objects).await?;
+    Ok((daemon, library))
+}
+
+fn print_cost(name: &str, cost: &Cost) {
+    println!(
+        "{name}: {:.0} requests/s, p50 {} us, p99 {} us, {:.1} us of processor a request, {} not served",
+        cost.rate, cost.p50, cost.p99, cost.cpu, cost.others
+    );
+}
--- /dev/null
+++ b/crates/foxhold-lab/src/command/talk.rs
@@ -0,0 +1,51 @@
+//! `talk`: directors that share state, without clients and servers.
+
+use foxhold_lab::peer_scenario::{self, Scenario};
+use foxhold_lab::replay::Failure;
+use std::future::Future;
+use std::path::PathBuf;
+
+/// Options of `talk`.
+#[derive(clap::Args)]
+pub struct Options {
+    /// The director's program
+    #[arg(long, default_value = "target/release/foxhold")]
+    daemon: PathBuf,
+    #[command(flatten)]
+    scenario: Scenario,
+    /// In place of that: one director holds so many entries, another starts and catches up
+    #[arg(long)]
+    catch_up: Option<u32>,
+    /// Where to write the figures, as JSON
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// Runs the scenario and prints its figures; whether every update reached all.
+pub fn run(options: &Options) -> Result<bool, Failure> {
+    match options.catch_up {
+        Some(entries) => catch_up(options, entries),
+        None => spread(options),
+    }
+}
+
+fn catch_up(options: &Options, entries: u32) -> Result<bool, Failure> {
+    let report = block_on(peer_scenario::catch_up(&options.daemon, entries))?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    Ok(report.entries >= u64::from(entries))
+}
+
+fn spread(options: &Options) -> Result<bool, Failure> {
+    let report = block_on(peer_scenario::run(&options.daemon, &options.scenario))?;
+    let text = serde_json::to_string_pretty(&report)?;
+    println!("{text}");
+    if let Some(file) = &options.json {
+        std::fs::write(file, text)?;
+    }
+    Ok(report.missed == 0)
+}
+
+fn block_on<T>(scenario: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, scenario)
+}
--- /dev/null
+++ b/crates/foxhold-lab/src/command/trace.rs
@@ -0,0 +1,86 @@
+//! `draw` and `trace`: drawn traces, and one trace through the daemon and through the library.
+
+use foxhold_lab::replay::{compare, play, Difference, Failure, Played, Through};
+use foxhold_lab::trace::{self, Line};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// Differences that are printed in full.
+const DIFFERENCES_PRINTED: usize = 5;
+
+/// Options of `draw`.
+#[derive(clap::Args)]
+pub struct DrawOptions {
+    /// Requests
+    #[arg(long, default_value_t = 5_000)]
+    requests: usize,
+    /// What it is drawn from
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+}
+
+/// Options of `trace`.
+#[derive(clap::Args)]
+pub struct CompareOptions {
+    /// The trace; without one it is drawn as by `draw`
+    file: Option<PathBuf>,
+    /// The daemon's program
+    #[arg(long, default_value = "target/release/foxhold")]
+    daemon: PathBuf,
+    /// Seed of a trace that is drawn
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+    /// Requests of a trace that is drawn
+    #[arg(long, default_value_t = 5_000)]
+    requests: usize,
+    /// Change the decision on this fill in the library, which must show
+    #[arg(long)]
+    alter: Option<usize>,
+}
+
+/// Prints a drawn trace.
+pub fn draw(options: &DrawOptions) -> Result<bool, Failure> {
+    trace::draw(options.requests, options.seed).iter().for_each(|line| println!("{line}"));
+    Ok(true)
+}
+
+/// Replays a trace through both, and prints where they differ; whether they do not.
+pub fn compare_daemon_and_library(options: CompareOptions) -> Result<bool, Failure> {
+    let lines = read_or_draw(&options)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let daemon = runtime.block_on(play(&lines, &Through::Daemon(options.daemon)))?;
+    print_summary("daemon", &daemon);
+    let library = runtime.block_on(play(&lines, &Through::Library { altered: options.alter }))?;
+    print_summary("library", &library);
+    let differences = compare(&daemon, &library);
+    print_differences(&differences);
+    Ok(differences.is_empty())
+}
+
+fn read_or_draw(options: &CompareOptions) -> Result<Vec<Line>, Failure> {
+    match &options.file {
+        Some(file) => Ok(trace::parse(&std::fs::read_to_string(file)?)?),
+        None => Ok(trace::draw(options.requests, options.seed)),
+    }
+}
+
+fn print_summary(name: &str, played: &Played) {
+    let attempts: usize = played.requests.values().map(|(seen, _)| seen.len()).sum();
+    let mut statuses = BTreeMap::new();
+    played.requests.values().for_each(|(_, answer)| *statuses.entry(answer.status).or_insert(0) += 1);
+    println!(
+        "{name}: {} requests, {attempts} attempts, answers {statuses:?}, {} started late, {:?} at the most",
+        played.requests.len(),
+        played.late,
+        played.latest
+    );
+}
+
+fn print_differences(differences: &[Difference]) {
+    for difference in differences.iter().take(DIFFERENCES_PRINTED) {
+        println!("request {}:", difference.id);
+        println!("  daemon  {:?}", difference.one);
+        println!("  library {:?}", difference.other);
+    }
+    println!("{} differences", differences.len());
+}
--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`storm`] | a play of drawn faults among directors that talk |
 //! | [`peer_network`] | the relays between directors that share state, and the paths between them |
 //! | [`talk`] | a fleet of such directors, as processes |
-//! | [`talk_play`] | what their talk costs, and how fast a word is with all |
+//! | [`peer_scenario`] | what that costs them, and how fast an update is with all |
 //! | [`test_client`] | a client that delivers updates to directors, acknowledged |
 //! | [`fleet`] | stand-in caches, parents, origin and notice board within this process |
 //! | [`overhead`] | what the director costs a request, as daemon and as library |
@@ -27,6 +27,7 @@
 pub mod model;
 pub mod overhead;
 pub mod peer_network;
+pub mod peer_scenario;
 pub mod plan;
 pub mod relay;
 pub mod replay;
@@ -34,6 +35,5 @@
 pub mod standin;
 pub mod storm;
 pub mod talk;
-pub mod talk_play;
 pub mod test_client;
 pub mod trace;
