Write what changes at once after a disk has room again, and test that and the client

Change: only writes of the whole wait 5 s, and none waits where the director leaves. The laboratory's limit of files is a soft one, lifted for a director that runs. The test client has tests: a path that loses 30% and doubles 10%, and one that nobody acknowledges, in paused time.

Not run: a director that leaves while its disk is full.

--- a/crates/foxhold-lab/src/talk.rs
+++ b/crates/foxhold-lab/src/talk.rs
@@ -5,7 +5,7 @@
 use crate::harness::{Folder, Process};
 use crate::peer_network::{call, Network, Relays};
 use crate::replay::Failure;
-use rustix::process::Signal;
+use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -159,7 +159,7 @@
             Some(kb) => {
                 // The shell's blocks are of 512 bytes; the signal that comes with a file's limit is let be.
                 let mut shell = Command::new("sh");
-                let words = format!("trap '' XFSZ; ulimit -f {}; exec \"$0\"", 2 * kb);
+                let words = format!("trap '' XFSZ; ulimit -S -f {}; exec \"$0\"", 2 * kb);
                 shell.arg("-c").arg(words).arg(&self.director);
                 shell
             }
@@ -171,11 +171,19 @@
         Ok((Process::new(child), lines))
     }
 
-    /// From the next start on files may grow.
+    /// Files may grow from the next start of a director on.
     pub fn lift_file_limit(&mut self) {
         self.config.file_limit_kb = None;
     }
 
+    /// Files of a running director may grow from now on.
+    pub fn lift_file_limit_of(&self, n: usize) -> Result<(), Failure> {
+        let id = self.processes[n].as_ref().and_then(Process::id).ok_or("it does not run")?;
+        let unlimited = Rlimit { current: None, maximum: None };
+        prlimit(Pid::from_raw(id as i32), Resource::Fsize, unlimited)?;
+        Ok(())
+    }
+
     /// Kills a director (SIGKILL).
     pub async fn kill(&mut self, n: usize) {
         if let Some(mut process) = self.processes[n].take() {
--- a/crates/foxhold-lab/tests/talk.rs
+++ b/crates/foxhold-lab/tests/talk.rs
@@ -39,6 +39,12 @@
     assert_eq!(fleet.ask(n, line).await.expect("a door"), "YES\n", "{line}");
 }
 
+/// Delivers so many purges to a director.
+async fn fill(fleet: &Fleet, n: usize, entries: u32) {
+    let mut client = TestClient::open(fleet).await.expect("a client");
+    client.fill(fleet, n, entries).await.expect("it takes them");
+}
+
 fn has(state: &[String], words: &str) -> bool {
     state.iter().any(|line| line.contains(words))
 }
@@ -286,12 +292,7 @@
 fn one_that_is_killed_in_the_midst_of_catching_up_and_one_whose_source_is_killed_end_with_all() {
     local(async {
         let mut fleet = fleet(5, "", false).await;
-        TestClient::open(&fleet)
-            .await
-            .expect("a client")
-            .fill(&fleet, 0, 20_000)
-            .await
-            .expect("it takes them");
+        fill(&fleet, 0, 20_000).await;
         let begun = std::time::Instant::now();
         loop {
             let mut held = Vec::new();
@@ -336,12 +337,7 @@
         told(&fleet, 1, "drain cache-1").await;
         sleep(Duration::from_millis(600)).await;
         assert!(count(&fleet, 0, &["counts", "disk_written"]).await > 0, "it was written at first");
-        TestClient::open(&fleet)
-            .await
-            .expect("a client")
-            .fill(&fleet, 0, 40_000)
-            .await
-            .expect("it takes them");
+        fill(&fleet, 0, 40_000).await;
         let begun = std::time::Instant::now();
         while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
             assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("a door"));
@@ -365,6 +361,46 @@
     });
 }
 
+#[test]
+fn a_disk_that_has_room_again_is_written_whole_by_the_director_that_runs() {
+    local(async {
+        let config = FleetConfig {
+            directors: 1,
+            persistent: true,
+            file_limit_kb: Some(1_600),
+            ..FleetConfig::default()
+        };
+        let mut fleet = Fleet::start(&common::daemon(), config).await.expect("a fleet");
+        fill(&fleet, 0, 40_000).await;
+        let begun = std::time::Instant::now();
+        while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
+            assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("an answer"));
+            sleep(Duration::from_millis(50)).await;
+        }
+        told(&fleet, 0, "drain cache-1").await;
+        fleet.lift_file_limit_of(0).expect("it runs");
+        // Five batches at most are from before: four that wait and one that is being written. The next is of all
+        // entries, and one more may hold the drain.
+        let written = count(&fleet, 0, &["counts", "disk_written"]).await;
+        let begun = std::time::Instant::now();
+        for group in 50_000.. {
+            if count(&fleet, 0, &["counts", "disk_written"]).await > written + 7 {
+                break;
+            }
+            assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("an answer"));
+            told(&fleet, 0, &format!("purge group {group}")).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+        println!("eight batches written {:?} after there was room", begun.elapsed());
+        fleet.lift_file_limit();
+        fleet.kill(0).await;
+        fleet.start_some(&[0]).await.expect("it starts");
+        assert!(count(&fleet, 0, &["entries", "purges"]).await >= 40_000, "{}", fleet.log(0));
+        let drains = fleet.state(0, "drains").await.expect("an answer");
+        assert!(has(&drains, "cache-1 drains"), "{drains:?}");
+    });
+}
+
 #[test]
 fn what_is_foreign_changes_nothing_is_counted_and_costs_bounded_memory() {
     local(async {
--- /dev/null
+++ b/crates/foxhold-lab/tests/test_client.rs
@@ -0,0 +1,55 @@
+//! The test client's delivery: what is lost is sent again, and what is never acknowledged ends within its bounds.
+
+use foxhold::replica::word::{Key, Word};
+use foxhold_lab::peer_network::LinkConditions;
+use foxhold_lab::talk::{Fleet, FleetConfig};
+use foxhold_lab::test_client::{DeliveryError, TestClient};
+use std::future::Future;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+mod common;
+
+const ENTRIES: u32 = 5_000;
+/// Eight batches outstanding, twenty attempts for each, two datagrams an attempt.
+const MAX_UNACKNOWLEDGED_DATAGRAMS: u64 = 8 * 20 * 2;
+
+fn block_on(paused: bool, test: impl Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(paused).build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn config() -> FleetConfig {
+    FleetConfig { directors: 1, seed: 7, ..FleetConfig::default() }
+}
+
+fn purges() -> Vec<(Key, Word)> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_micros() as u64;
+    (0..ENTRIES).map(|group| (Key::Group(group), Word::Purged(now))).collect()
+}
+
+#[test]
+fn over_a_path_that_loses_a_third_and_doubles_some_every_update_is_delivered() {
+    block_on(false, async {
+        let fleet = Fleet::start(&common::daemon(), config()).await.expect("a fleet");
+        fleet.net.set_all(LinkConditions { lost: 0.3, twice: 0.1, late_ms: 20 });
+        let mut client = TestClient::open(&fleet).await.expect("a client");
+        let delivered = client.fill(&fleet, 0, ENTRIES).await.expect("all are acknowledged");
+        assert!(delivered.retries > 0, "{delivered:?}");
+        assert_eq!(fleet.purges_held(0).await.expect("an answer"), u64::from(ENTRIES));
+    });
+}
+
+#[test]
+fn updates_that_nobody_acknowledges_end_after_bounded_attempts_and_datagrams() {
+    block_on(true, async {
+        let fleet = Fleet::prepare(&common::daemon(), config()).await.expect("a fleet");
+        let mut client = TestClient::open(&fleet).await.expect("a client");
+        let begun = tokio::time::Instant::now();
+        let error = client.deliver(fleet.reached_at(0), purges()).await.expect_err("no director runs");
+        assert!(matches!(error, DeliveryError::AttemptsExhausted { missing: 1.. }), "{error}");
+        assert!(begun.elapsed() < Duration::from_secs(40), "{:?}", begun.elapsed());
+        let (datagrams, _) = fleet.net.arrived(0);
+        assert!((1..=MAX_UNACKNOWLEDGED_DATAGRAMS).contains(&datagrams), "{datagrams}");
+    });
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -189,6 +189,8 @@
     /// Keys to be written.
     dirty: BTreeSet<Key>,
     next_write: Instant,
+    /// When all entries may be written anew next, where a write has failed.
+    next_whole_write: Instant,
     written_at: Instant,
     next_seeds: Instant,
     next_meet: Instant,
@@ -280,6 +282,7 @@
         store,
         dirty: BTreeSet::new(),
         next_write: at,
+        next_whole_write: at,
         written_at: at,
         next_seeds: at,
         next_meet: at,
@@ -543,14 +546,18 @@
 
     fn write(&mut self, at: Instant) {
         let Some(store) = &self.store else { return };
+        self.next_write = at + WRITE;
         let whole = store.told.lacking.load(std::sync::atomic::Ordering::Relaxed);
-        self.next_write = at + if whole { WHOLE_WRITE_RETRY } else { WRITE };
+        if whole && at < self.next_whole_write {
+            return;
+        }
         if self.dirty.is_empty() && !whole && at - self.written_at < WRITE_TIME {
             return;
         }
         let unix = self.clock.unix();
         let keys = std::mem::take(&mut self.dirty);
         let batch = if whole {
+            self.next_whole_write = at + WHOLE_WRITE_RETRY;
             let all = Kind::ALL.into_iter().flat_map(|kind| self.talk.state.of(kind));
             all.map(|(key, word)| (key.clone(), Some(word.clone()))).collect()
         } else {
@@ -565,7 +572,9 @@
     async fn leave(mut self, done: oneshot::Sender<()>) {
         let due = self.members.leave();
         self.due(due);
-        self.write(Instant::now());
+        let at = Instant::now();
+        self.next_whole_write = at; // the last chance
+        self.write(at);
         if let Some(store) = self.store.take() {
             store.finish(LEAVING).await;
         }
