--- a/crates/foxhold-lab/tests/talk.rs
+++ b/crates/foxhold-lab/tests/talk.rs
@@ -5,8 +5,9 @@
 use foxhold::peers::members::Member;
 use foxhold::replica::talk::Say;
 use foxhold::replica::word::{Key, Word};
-use foxhold_lab::talk::{Fleet, Setup, Way};
-use foxhold_lab::talk_play::Friend;
+use foxhold_lab::peer_network::LinkConditions;
+use foxhold_lab::talk::{Fleet, FleetConfig};
+use foxhold_lab::test_client::TestClient;
 use rustix::process::Signal;
 use std::future::Future;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -19,9 +20,9 @@
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
-async fn fleet(directors: usize, keys: &str, lasting: bool) -> Fleet {
-    let setup = Setup { directors, keys: keys.into(), lasting, seed: 7, ..Setup::default() };
-    let fleet = Fleet::start(&common::daemon(), setup).await.expect("a fleet");
+async fn fleet(directors: usize, keys: &str, persistent: bool) -> Fleet {
+    let config = FleetConfig { directors, keys: keys.into(), persistent, seed: 7, ..FleetConfig::default() };
+    let fleet = Fleet::start(&common::daemon(), config).await.expect("a fleet");
     fleet.joined(&all(&fleet), directors - 1, s(20)).await.expect("they meet");
     fleet
 }
@@ -38,6 +39,12 @@
     assert_eq!(fleet.ask(n, line).await.expect("a door"), "YES\n", "{line}");
 }
 
+/// Delivers so many purges to a director.
+async fn fill(fleet: &Fleet, n: usize, entries: u32) {
+    let mut client = TestClient::open(fleet).await.expect("a client");
+    client.fill(fleet, n, entries).await.expect("it takes them");
+}
+
 fn has(state: &[String], words: &str) -> bool {
     state.iter().any(|line| line.contains(words))
 }
@@ -139,7 +146,7 @@
         for n in 3..6 {
             assert_eq!(fleet.state(n, "purges").await, Some(Vec::new()), "the ways are cut");
         }
-        fleet.net.set_all(Way::default());
+        fleet.net.set_all(LinkConditions::default());
         let took = fleet.until(&[3, 4, 5], "purges", s(5), |s| has(s, "7f3a9c21e0b4d655")).await;
         println!("all had the purge {:?} after the ways were back", took.expect("they hear"));
     });
@@ -169,7 +176,7 @@
         told(&fleet, 5, "undrain parent-1").await;
         told(&fleet, 2, "drain cache-1").await;
         told(&fleet, 2, "purge group 9").await;
-        fleet.net.set_all(Way::default());
+        fleet.net.set_all(LinkConditions::default());
         let healed = std::time::Instant::now();
         fleet.joined(&all(&fleet), 5, s(20)).await.expect("they meet again");
         let drains = same(&fleet, &all(&fleet), s(10)).await;
@@ -183,9 +190,9 @@
 fn over_ways_that_lose_a_fifth_double_some_and_are_late_all_come_to_one_state() {
     local(async {
         let fleet = fleet(5, "", false).await;
-        fleet.net.set_all(Way { lost: 0.2, twice: 0.2, late_ms: 2_000 });
+        fleet.net.set_all(LinkConditions { lost: 0.2, twice: 0.2, late_ms: 2_000 });
         // One way between two is gone altogether.
-        fleet.net.set(0, 1, Way::CUT);
+        fleet.net.set(0, 1, LinkConditions::CUT);
         for n in 0..20 {
             let server = ["cache-1", "cache-2", "parent-1"][n % 3];
             let word = if n % 4 == 3 { "undrain" } else { "drain" };
@@ -285,7 +292,7 @@
 fn one_that_is_killed_in_the_midst_of_catching_up_and_one_whose_source_is_killed_end_with_all() {
     local(async {
         let mut fleet = fleet(5, "", false).await;
-        Friend::new(&fleet).expect("a friend").fill(&fleet, 0, 20_000).await.expect("it takes them");
+        fill(&fleet, 0, 20_000).await;
         let begun = std::time::Instant::now();
         loop {
             let mut held = Vec::new();
@@ -319,13 +326,18 @@
 #[test]
 fn a_full_disk_stops_writing_is_counted_and_never_stops_serving_and_leaves_sound_data() {
     local(async {
-        let setup = Setup { directors: 3, lasting: true, disk_kb: Some(1_600), ..Setup::default() };
-        let mut fleet = Fleet::start(&common::daemon(), setup).await.expect("a fleet");
+        let config = FleetConfig {
+            directors: 3,
+            persistent: true,
+            file_limit_kb: Some(1_600),
+            ..FleetConfig::default()
+        };
+        let mut fleet = Fleet::start(&common::daemon(), config).await.expect("a fleet");
         fleet.joined(&all(&fleet), 2, s(20)).await.expect("they meet");
         told(&fleet, 1, "drain cache-1").await;
         sleep(Duration::from_millis(600)).await;
         assert!(count(&fleet, 0, &["counts", "disk_written"]).await > 0, "it was written at first");
-        Friend::new(&fleet).expect("a friend").fill(&fleet, 0, 40_000).await.expect("it takes them");
+        fill(&fleet, 0, 40_000).await;
         let begun = std::time::Instant::now();
         while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
             assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("a door"));
@@ -336,7 +348,7 @@
         fleet.until(&all(&fleet), "drains", s(2), |s| has(s, "cache-2 drains")).await.expect("it talks");
         assert!(fleet.log(0).contains("the state can't be written"), "{}", fleet.log(0));
         // What is on the disk is sound: the state of some earlier moment.
-        fleet.disk_has_room();
+        fleet.lift_file_limit();
         fleet.kill(0).await;
         fleet.start_some(&[0]).await.expect("it starts");
         let log = fleet.log(0);
@@ -349,6 +361,46 @@
     });
 }
 
+#[test]
+fn a_disk_that_has_room_again_is_written_whole_by_the_director_that_runs() {
+    local(async {
+        let config = FleetConfig {
+            directors: 1,
+            persistent: true,
+            file_limit_kb: Some(1_600),
+            ..FleetConfig::default()
+        };
+        let mut fleet = Fleet::start(&common::daemon(), config).await.expect("a fleet");
+        fill(&fleet, 0, 40_000).await;
+        let begun = std::time::Instant::now();
+        while count(&fleet, 0, &["counts", "disk_failed"]).await == 0 {
+            assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("an answer"));
+            sleep(Duration::from_millis(50)).await;
+        }
+        told(&fleet, 0, "drain cache-1").await;
+        fleet.lift_file_limit_of(0).expect("it runs");
+        // Five batches at most are from before: four that wait and one that is being written. The next is of all
+        // entries, and one more may hold the drain.
+        let written = count(&fleet, 0, &["counts", "disk_written"]).await;
+        let begun = std::time::Instant::now();
+        for group in 50_000.. {
+            if count(&fleet, 0, &["counts", "disk_written"]).await > written + 7 {
+                break;
+            }
+            assert!(begun.elapsed() < s(20), "{}", fleet.shown(0).await.expect("an answer"));
+            told(&fleet, 0, &format!("purge group {group}")).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+        println!("eight batches written {:?} after there was room", begun.elapsed());
+        fleet.lift_file_limit();
+        fleet.kill(0).await;
+        fleet.start_some(&[0]).await.expect("it starts");
+        assert!(count(&fleet, 0, &["entries", "purges"]).await >= 40_000, "{}", fleet.log(0));
+        let drains = fleet.state(0, "drains").await.expect("an answer");
+        assert!(has(&drains, "cache-1 drains"), "{drains:?}");
+    });
+}
+
 #[test]
 fn what_is_foreign_changes_nothing_is_counted_and_costs_bounded_memory() {
     local(async {
@@ -357,18 +409,20 @@
         let before = same(&fleet, &all(&fleet), s(5)).await;
         let to = fleet.reached_at(0);
         let words = || Say::Words(vec![(Key::Group(1), Word::Purged(unix()))]);
-        let mut friend = Friend::new(&fleet).expect("a friend");
-        let send = |friend: &Friend, bytes: &[u8]| friend.send(to, bytes).expect("loopback");
+        let mut client = TestClient::open(&fleet).await.expect("a client");
         for _ in 0..50 {
-            send(&friend, &sealed("lab", &[9; 32], words()));
-            send(&friend, &sealed("elsewhere", &fleet.keys().expect("keys")[0], words()));
-            send(&friend, &[3; 200]);
-            send(&friend, &[1; 4]);
+            client.send(to, &sealed("lab", &[9; 32], words())).await.expect("loopback");
+            client
+                .send(to, &sealed("elsewhere", &fleet.keys().expect("keys")[0], words()))
+                .await
+                .expect("loopback");
+            client.send(to, &[3; 200]).await.expect("loopback");
+            client.send(to, &[1; 4]).await.expect("loopback");
         }
         // A good message that is sent once more.
-        let good = friend.sealed(Say::Words(vec![(Key::Group(2), Word::Purged(unix()))])).expect("small");
-        send(&friend, &good);
-        send(&friend, &good);
+        let good = client.sealed(Say::Words(vec![(Key::Group(2), Word::Purged(unix()))])).expect("small");
+        client.send(to, &good).await.expect("loopback");
+        client.send(to, &good).await.expect("loopback");
         fleet
             .until(&all(&fleet), "purges", s(5), |s| s.len() == 1 && has(s, "group 2"))
             .await
@@ -379,7 +433,7 @@
         assert_eq!(fleet.state(0, "drains").await, Some(before.clone()));
         // Entries without end, from one with the key: bounded, counted, and drains stay.
         while count(&fleet, 0, &["turned_down", "entry_full"]).await < 10_000 {
-            friend.purges(to, 10..20_000).await.expect("loopback");
+            client.flood(to, 10..20_000).await.expect("loopback");
         }
         sleep(s(1)).await;
         for n in all(&fleet) {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -46,6 +46,9 @@
 /// Changes are written to the disk every so often, and the time at least.
 const WRITE: Duration = Duration::from_millis(200);
 const WRITE_TIME: Duration = Duration::from_secs(5);
+/// After a write that failed all is written anew, and tried again this often: the actor does nothing else
+/// while it encodes all entries.
+const WHOLE_WRITE_RETRY: Duration = Duration::from_secs(5);
 /// An operator's word that the core could not take is told anew after this.
 const AGAIN: Duration = Duration::from_millis(250);
 /// Two under one name are told of when both have been there for this long: one that has just moved is not
@@ -186,6 +189,8 @@
     /// Keys to be written.
     dirty: BTreeSet<Key>,
     next_write: Instant,
+    /// When all entries may be written anew next, where a write has failed.
+    next_whole_write: Instant,
     written_at: Instant,
     next_seeds: Instant,
     next_meet: Instant,
@@ -277,6 +282,7 @@
         store,
         dirty: BTreeSet::new(),
         next_write: at,
+        next_whole_write: at,
         written_at: at,
         next_seeds: at,
         next_meet: at,
@@ -542,12 +548,16 @@
         let Some(store) = &self.store else { return };
         self.next_write = at + WRITE;
         let whole = store.told.lacking.load(std::sync::atomic::Ordering::Relaxed);
+        if whole && at < self.next_whole_write {
+            return;
+        }
         if self.dirty.is_empty() && !whole && at - self.written_at < WRITE_TIME {
             return;
         }
         let unix = self.clock.unix();
         let keys = std::mem::take(&mut self.dirty);
         let batch = if whole {
+            self.next_whole_write = at + WHOLE_WRITE_RETRY;
             let all = Kind::ALL.into_iter().flat_map(|kind| self.talk.state.of(kind));
             all.map(|(key, word)| (key.clone(), Some(word.clone()))).collect()
         } else {
@@ -562,7 +572,9 @@
     async fn leave(mut self, done: oneshot::Sender<()>) {
         let due = self.members.leave();
         self.due(due);
-        self.write(Instant::now());
+        let at = Instant::now();
+        self.next_whole_write = at; // the last chance
+        self.write(at);
         if let Some(store) = self.store.take() {
             store.finish(LEAVING).await;
         }
