Look at the client's socket right before an attempt's first byte

Cause: whether a client has left was known only once the runtime had told its connection's task. While the loop is held up the end lies in the socket, and what the core had to do next was begun for nobody: the first attempt of a request in the mailbox, a further one, and that of a request unread behind another on its connection. Behind more bytes than sockets take the end could not come at all, for they were not read. A transport of the host's asked whether the request was over, then waited for room in the core's mailbox, then began.

Change: a request's word (Over) can look at its client by poll(2) with RDHUP, which sees an end behind unread bytes too; whoever writes looks last thing before byte zero. The client's connection is shared for that (ClientStream). What a client sends beyond 64 KB while it is owed an answer is read and thrown away, and its connection ends with the answer; beyond 16 MB it counts as gone.

Stepped and its like moved from tests/races.rs to tests/standin, unchanged.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -55,6 +55,13 @@
     span: tracing::Span,
 }
 
+impl Live {
+    /// Whether its client has left, as far as was told.
+    fn is_left(&self) -> bool {
+        self.over.is() || self.reply.as_ref().is_some_and(oneshot::Sender::is_closed)
+    }
+}
+
 /// An attempt that is out.
 struct Out {
     server: ServerId,
@@ -369,7 +376,7 @@
             let (wait, cause) = (Some(WHEN_FULL), Cause::Busy);
             return self.reply(ask.class, reply, Answer::Refused { wait, cause });
         }
-        if reply.is_closed() {
+        if reply.is_closed() || over.is() {
             // Its client left while it waited in the mailbox: nothing is sent for nobody.
             return self.count_left(Some((self.classes[ask.class].clone(), Proof::NeverRan)));
         }
@@ -498,8 +505,9 @@
         if self.live.get(&number).is_some_and(|l| l.reply.is_some()) && self.expired(number) {
             self.expire(number);
         }
-        if self.live.get(&number).and_then(|l| l.reply.as_ref()).is_some_and(oneshot::Sender::is_closed) {
-            // Its client has left, and the word of it is behind this in the mailbox, or found no room there.
+        let waits = self.live.get(&number).filter(|live| live.reply.is_some());
+        if waits.is_some_and(Live::is_left) {
+            // The word of it is behind this in the mailbox, found no room there, or has not come yet.
             self.left(number);
         }
         let now = self.clock.now();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -156,21 +156,47 @@
 
 impl std::error::Error for Broken {}
 
+/// A client as its front reaches it.
+pub trait Client: std::fmt::Debug + Send + Sync {
+    /// Looks whether it has left, be it that the runtime has told nobody of it yet. It must not block.
+    fn has_left(&self) -> bool;
+}
+
 /// Whether a request is over: answered, or let go by its client. Whoever carries its attempts looks at this
 /// last thing before the first byte: the order that calls an attempt off can find a mailbox full, or cross
-/// the attempt on its way from a connection that has ended to another.
+/// the attempt on its way from a connection that has ended to another; and while the runtime is held up, a
+/// client's end waits unseen.
 #[derive(Clone, Debug, Default)]
-pub struct Over(Arc<AtomicBool>);
+pub struct Over(Arc<OverState>);
+
+#[derive(Debug, Default)]
+struct OverState {
+    ended: AtomicBool,
+    client: Option<Box<dyn Client>>,
+}
 
 impl Over {
-    /// Whether nothing more is to be sent for it.
+    /// The same for a request whose client can be looked at.
+    pub fn of(client: impl Client + 'static) -> Self {
+        Over(Arc::new(OverState { ended: AtomicBool::new(false), client: Some(Box::new(client)) }))
+    }
+
+    /// Whether nothing more is to be sent for it, as far as was told.
     pub fn is(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.ended.load(Ordering::Relaxed)
+    }
+
+    /// The same, and the client itself is looked at, where its front reaches it: right before the first byte.
+    pub fn look(&self) -> bool {
+        if !self.is() && self.0.client.as_ref().is_some_and(|client| client.has_left()) {
+            self.end();
+        }
+        self.is()
     }
 
     /// It is over from now on.
     pub fn end(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.ended.store(true, Ordering::Relaxed);
     }
 }
 
@@ -233,7 +259,7 @@
     pub until: Instant,
     /// Not to be sent after this: by then it may no longer be right to.
     pub send_by: Instant,
-    /// Not to be sent once this says so.
+    /// Not to be sent once this says so; looked at right before the first byte ([`Over::look`]).
     pub over: Over,
     /// The server a miss is filled from; none: no fill.
     pub via: Option<Arc<str>>,
@@ -399,6 +425,12 @@
         self.0.try_send(message).is_ok()
     }
 
+    /// Waits for room for one message, so that nothing can come between a last look and its sending; none: the
+    /// actor has ended.
+    pub async fn reserve(&self) -> Option<mpsc::Permit<'_, Message>> {
+        self.0.reserve().await.ok()
+    }
+
     /// Hands a message over; an actor that has ended wants none.
     pub async fn send(&self, message: Message) {
         let _ = self.0.send(message).await;
@@ -435,8 +467,18 @@
 
     /// Hands a request over. Dropping the [`Pending`] tells the core that the client has gone.
     pub fn ask(&self, ask: Ask) -> Pending {
+        self.hand_over(ask, Over::default())
+    }
+
+    /// The same for a client that can be looked at: it counts as gone as soon as it has left, be it before
+    /// the [`Pending`] is dropped.
+    pub fn ask_of(&self, ask: Ask, client: impl Client + 'static) -> Pending {
+        self.hand_over(ask, Over::of(client))
+    }
+
+    fn hand_over(&self, ask: Ask, over: Over) -> Pending {
         let request = self.next.fetch_add(1, Ordering::Relaxed);
-        let ((reply, answer), over) = (oneshot::channel(), Over::default());
+        let (reply, answer) = oneshot::channel();
         // Full: the request is turned away at once, which is harmless as nothing ran.
         let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply, over.clone()));
         let cause = match &taken {
--- a/src/fronts/mod.rs
+++ b/src/fronts/mod.rs
@@ -5,3 +5,4 @@
 pub mod platform;
 pub mod serve;
 pub mod signed;
+pub mod stream;
--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -1,6 +1,7 @@
 //! Client connections, whatever front they belong to: requests read, answers written. It decides nothing.
 
 use super::http::{self, BadRequest, Head, Response};
+use super::stream::ClientStream;
 use crate::core::{Answer, Ask, Cause, Core};
 use crate::transport::ahead;
 use bytes::{Buf, Bytes, BytesMut};
@@ -9,14 +10,18 @@
 use std::io::{ErrorKind, Read, Write};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-/// Bytes read ahead of a request in hand; a client that sends more waits.
+/// Bytes kept that came ahead of a request's answer. What comes beyond is read and thrown away, for the client's
+/// end lies behind it, and the connection ends with the answer.
 const READ_AHEAD: usize = 64 * 1024;
+/// A client that sends this much while it is owed an answer counts as gone: one that keeps to the protocol sends
+/// nothing then, and reading on for ever would hold up the others.
+const MOST_THROWN_AWAY: usize = 16 << 20;
 /// A connection without a request is closed after this; clients close theirs after 4 s.
 const IDLE: Duration = Duration::from_secs(6);
 /// A request must have come whole by then, counted from its first byte, or from the start of a connection
@@ -27,8 +32,6 @@
 /// A connection that was refused is closed by its client within this, or by us after it; so many at a time.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGERING: usize = 8;
-/// How often a client that sends more than is read ahead is looked at: whether it has gone.
-const LOOK: Duration = Duration::from_millis(50);
 /// An answer must be taken by then.
 const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 
@@ -288,21 +291,20 @@
 
 /// A client's connection.
 struct Connection {
-    stream: TcpStream,
+    stream: ClientStream,
     buffer: BytesMut,
     /// A request's head, while its body is awaited.
     head: Option<Head>,
     /// When the request that has begun must have come whole.
     due: Option<Instant>,
+    /// Bytes that were read and not kept: what follows can't be told apart any more.
+    thrown_away: usize,
 }
 
 /// Serves one connection to its end.
 async fn serve<F: Front>(stream: TcpStream, place: &Place, shared: &Shared, front: &F) {
     let _ = stream.set_nodelay(true);
-    let buffer = BytesMut::with_capacity(2048);
-    let due = Some(Instant::now() + WHOLE_REQUEST);
-    let (mut connection, mut closing) =
-        (Connection { stream, buffer, head: None, due }, shared.closing.clone());
+    let (mut connection, mut closing) = (Connection::new(stream), shared.closing.clone());
     // Counted while a request is in hand, and at the end of the program from its first byte on.
     let (mut asked, mut counted) = (false, None);
     loop {
@@ -347,19 +349,32 @@
         let response = match front.read(&head, body) {
             Err(response) => response,
             Ok(ask) => tokio::select! {
-                answer = shared.core.ask(ask) => front.word(answer),
+                answer = shared.core.ask_of(ask, connection.stream.client()) => front.word(answer),
                 // Dropping the pending answer tells the core that the client has gone.
                 () = connection.gone() => return,
             },
         };
-        let close = head.close || *shared.closing.borrow() != Closing::No;
-        if connection.write(&response, close).await.is_err() || close {
+        let overrun = connection.thrown_away > 0;
+        let close = head.close || overrun || *shared.closing.borrow() != Closing::No;
+        if connection.write(&response, close).await.is_err() {
+            return;
+        }
+        if overrun {
+            connection.linger().await;
+        }
+        if close {
             return;
         }
     }
 }
 
 impl Connection {
+    fn new(stream: TcpStream) -> Self {
+        let buffer = BytesMut::with_capacity(2048);
+        let due = Some(Instant::now() + WHOLE_REQUEST);
+        Connection { stream: ClientStream::new(stream), buffer, head: None, due, thrown_away: 0 }
+    }
+
     /// Whether nothing of a next request has come.
     fn idle(&self) -> bool {
         self.buffer.is_empty() && self.head.is_none()
@@ -367,7 +382,7 @@
 
     /// Whether anything of a next request has come, be it unread and untold of yet.
     fn has_come(&self) -> bool {
-        !self.idle() || matches!(ahead(&self.stream), Ok(n) if n > 0)
+        !self.idle() || matches!(ahead(self.stream.socket()), Ok(n) if n > 0)
     }
 
     /// Reads the next request; none: the client closed the connection, left it idle or took too long. What
@@ -401,17 +416,16 @@
         }
     }
 
-    /// Returns once the client has closed or reset the connection.
+    /// Returns once the client has closed or reset the connection, or sent far more than it has any reason to.
     async fn gone(&mut self) {
-        while self.buffer.len() < READ_AHEAD {
-            match self.stream.read_buf(&mut self.buffer).await {
-                Ok(n) if n > 0 => {}
-                _ => return,
+        while matches!(self.stream.read_buf(&mut self.buffer).await, Ok(n) if n > 0) {
+            if self.buffer.len() > READ_AHEAD || self.thrown_away > 0 {
+                self.thrown_away += self.buffer.len();
+                self.buffer.clear();
+            }
+            if self.thrown_away > MOST_THROWN_AWAY {
+                return;
             }
-        }
-        // More is not read, so that the end behind it is seen by the socket's state alone.
-        while !matches!(self.stream.ready(Interest::READABLE).await, Ok(ready) if ready.is_read_closed()) {
-            sleep(LOOK).await;
         }
     }
 
--- /dev/null
+++ b/src/fronts/stream.rs
@@ -0,0 +1,92 @@
+//! A client's connection, which one task reads and writes and others may look at.
+
+use crate::core::Client;
+use crate::transport::has_closed;
+use std::io::{ErrorKind, IoSlice, Result};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A client's connection. It is closed when this is dropped, whoever still looks at it.
+#[derive(Debug)]
+pub struct ClientStream(Arc<TcpStream>);
+
+impl ClientStream {
+    /// Takes a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        ClientStream(Arc::new(stream))
+    }
+
+    /// The socket.
+    pub fn socket(&self) -> &TcpStream {
+        &self.0
+    }
+
+    /// By which the core sees that the client has left before this connection's task does.
+    pub fn client(&self) -> impl Client {
+        Peer(Arc::downgrade(&self.0))
+    }
+}
+
+/// The other side of a connection.
+#[derive(Debug)]
+struct Peer(Weak<TcpStream>);
+
+impl Client for Peer {
+    fn has_left(&self) -> bool {
+        self.0.upgrade().is_none_or(|stream| has_closed(&stream))
+    }
+}
+
+/// Turns "not now" into none: the socket is waited for again.
+fn settled<T>(result: Result<T>) -> Option<Result<T>> {
+    match result {
+        Err(error) if error.kind() == ErrorKind::WouldBlock => None,
+        result => Some(result),
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            if let Some(read) = settled(self.0.try_read(buffer.initialize_unfilled())) {
+                return Poll::Ready(read.map(|n| buffer.advance(n)));
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            if let Some(written) = settled(self.0.try_write_vectored(slices)) {
+                return Poll::Ready(written);
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(())) // nothing is held back
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/src/transport/host.rs
+++ b/src/transport/host.rs
@@ -24,6 +24,10 @@
     /// Carries one attempt to a server and says how it ended. The future is dropped where the attempt is
     /// called off; it runs on the director's thread and must not block it. What it can't prove not to have
     /// run it must end with [`Broken::Written`]: a write is sent again only after an end that proves it.
+    ///
+    /// A site may allow no calling off. A future that waits before its first byte, as for a connection, asks
+    /// [`Over::look`](crate::core::Over::look) of the attempt last thing before that byte, and ends with
+    /// [`Broken::CalledOff`] where it is over.
     fn exchange(&self, server: &Listing, want: Want) -> Boxed<End>;
 
     /// Asks a server whether it is well. Unless it is written anew, every server is.
@@ -66,13 +70,16 @@
                 let mut last =
                     LastWord { said: false, ticket, reports: reports.clone(), how: Broken::Unwritten };
                 let task = tokio::task::spawn_local(async move {
-                    if want.over.is() {
-                        last.said = true;
-                        return last.reports.send(Message::Ended(ticket, Err(Broken::CalledOff))).await;
+                    // Waited for first: nothing is to come between the last look and the exchange.
+                    let reports = last.reports.clone();
+                    let Some(room) = reports.reserve().await else { return };
+                    if want.over.look() {
+                        last.keep_silent();
+                        return room.send(Message::Ended(ticket, Err(Broken::CalledOff)));
                     }
                     last.how = Broken::Written;
                     // From here on the time is the server's.
-                    last.reports.send(Message::Written(ticket)).await;
+                    room.send(Message::Written(ticket));
                     let end = exchange.exchange(&server, want).await;
                     last.said = true;
                     last.reports.send(Message::Ended(ticket, end)).await;
@@ -104,6 +111,13 @@
     how: Broken,
 }
 
+impl LastWord {
+    /// The end is told otherwise.
+    fn keep_silent(mut self) {
+        self.said = true;
+    }
+}
+
 impl Drop for LastWord {
     fn drop(&mut self) {
         if !self.said {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod lines;
 pub mod servers;
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::ErrorKind::WouldBlock;
 use std::mem::MaybeUninit;
 use tokio::net::TcpStream;
@@ -21,3 +22,12 @@
         Err(error) => error.kind() != WouldBlock,
     }
 }
+
+/// Whether the other side has closed or reset a connection, be it that the runtime has not been told of it, or
+/// that the end lies behind bytes that are not read.
+pub fn has_closed(stream: &TcpStream) -> bool {
+    let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut asked, Some(&at_once)).is_ok() && asked[0].revents().intersects(ends)
+}
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -346,14 +346,20 @@
         true
     }
 
+    /// Whether no byte of an attempt in the out buffer is written.
+    fn is_unwritten(&self, ticket: Ticket) -> bool {
+        self.open.get(&ticket).is_some_and(|open| open.start >= self.written)
+    }
+
     /// Withdraws the attempt that waits to be written if its request is over, however that came to be known,
     /// or it is too late to send it.
     async fn drop_over(&mut self) {
+        let waits = |(ticket, ..): &&(Ticket, Over, Instant)| self.is_unwritten(*ticket);
         let how = |(ticket, over, send_by): &(Ticket, Over, Instant)| match Instant::now() > *send_by {
-            _ if over.is() => Some((*ticket, Broken::CalledOff)),
+            _ if over.look() => Some((*ticket, Broken::CalledOff)),
             late => late.then_some((*ticket, Broken::Unwritten)),
         };
-        let dropped = self.unwritten.as_ref().and_then(how);
+        let dropped = self.unwritten.as_ref().filter(waits).and_then(how);
         if let Some((ticket, how)) = dropped.filter(|(ticket, _)| self.withdraw(*ticket)) {
             self.report(ticket, Err(how)).await;
         }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -14,44 +14,11 @@
 use std::io::{Read, Write};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Instant};
 
-const SOON: Duration = Duration::from_secs(5);
-
-/// A server that does nothing by itself: the test takes its connections and lines one by one.
-struct Stepped(TcpListener);
-
-impl Stepped {
-    async fn start() -> (Stepped, String) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address").to_string();
-        (Stepped(listener), address)
-    }
-
-    async fn connection(&self) -> BufReader<TcpStream> {
-        let accepted = timeout(SOON, self.0.accept()).await.expect("a connection in time");
-        BufReader::new(accepted.expect("a connection").0)
-    }
-
-    /// Whether a connection has come that was not taken yet.
-    async fn is_asked(&self) -> bool {
-        timeout(Duration::from_millis(300), self.0.accept()).await.is_ok()
-    }
-}
-
-/// The next line, and the empty one that ends a request's bytes.
-async fn line(stream: &mut BufReader<TcpStream>) -> String {
-    let mut text = String::new();
-    timeout(SOON, stream.read_line(&mut text)).await.expect("a line in time").expect("a line");
-    if text.starts_with("want ") {
-        stream.read_line(&mut String::new()).await.expect("its end");
-    }
-    text
-}
-
 /// The actor of one server.
 struct Peer {
     orders: mpsc::Sender<Order>,
@@ -96,10 +63,6 @@
     }
 }
 
-fn get(id: u64) -> String {
-    format!("GET /ops/videos/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Job-Id: {id:016x}\r\nX-Allow-Ms: 2500\r\n\r\n")
-}
-
 /// A platform's front whose end the test decides on.
 struct Front {
     address: String,
@@ -171,24 +134,6 @@
     }
 }
 
-/// A listener with the shortest queue there is.
-fn short_listener() -> (TcpListener, String) {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(0).expect("a listener");
-    let address = listener.local_addr().expect("an address").to_string();
-    (listener, address)
-}
-
-/// Fills a listener's queue, so that a further connection hangs until one is taken from it.
-async fn fill(address: &str) -> Vec<TcpStream> {
-    let mut waiting = Vec::new();
-    while let Ok(stream) = timeout(Duration::from_millis(300), TcpStream::connect(address)).await {
-        waiting.push(stream.expect("a connection"));
-    }
-    waiting
-}
-
 /// A connection that comes up late held what others that were up had room for.
 #[test]
 fn an_attempt_goes_on_a_connection_that_is_up_before_one_that_is_coming_up() {
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -9,9 +9,11 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// What a stand-in server does with each request.
 #[derive(Clone, Debug)]
@@ -264,3 +266,60 @@
     let runtime = builder.enable_all().start_paused(true).build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test)
 }
+
+/// In which whatever is waited for has come.
+pub const SOON: Duration = Duration::from_secs(5);
+
+/// A server that does nothing by itself: the test takes its connections and lines one by one.
+pub struct Stepped(pub TcpListener);
+
+impl Stepped {
+    pub async fn start() -> (Stepped, String) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        (Stepped(listener), address)
+    }
+
+    pub async fn connection(&self) -> BufReader<TcpStream> {
+        let accepted = timeout(SOON, self.0.accept()).await.expect("a connection in time");
+        BufReader::new(accepted.expect("a connection").0)
+    }
+
+    /// Whether a connection has come that was not taken yet.
+    pub async fn is_asked(&self) -> bool {
+        timeout(Duration::from_millis(300), self.0.accept()).await.is_ok()
+    }
+}
+
+/// The next line, and the empty one that ends a request's bytes.
+pub async fn line(stream: &mut BufReader<TcpStream>) -> String {
+    let mut text = String::new();
+    timeout(SOON, stream.read_line(&mut text)).await.expect("a line in time").expect("a line");
+    if text.starts_with("want ") {
+        stream.read_line(&mut String::new()).await.expect("its end");
+    }
+    text
+}
+
+/// A request of the platform.
+pub fn get(id: u64) -> String {
+    format!("GET /ops/videos/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Job-Id: {id:016x}\r\nX-Allow-Ms: 2500\r\n\r\n")
+}
+
+/// A listener with the shortest queue there is.
+pub fn short_listener() -> (TcpListener, String) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("an address").to_string();
+    (listener, address)
+}
+
+/// Fills a listener's queue, so that a further connection hangs until one is taken from it.
+pub async fn fill(address: &str) -> Vec<TcpStream> {
+    let mut waiting = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(300), TcpStream::connect(address)).await {
+        waiting.push(stream.expect("a connection"));
+    }
+    waiting
+}
