--- a/tests/races.rs
+++ b/tests/races.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -134,6 +134,30 @@
     }
 }
 
+/// What the system has taken and not sent lies out of reach: requests went out after their
+/// clients had left, once a server that had not read began to.
+#[test]
+fn what_waits_behind_another_is_not_given_to_the_system_before_that_is_sent() {
+    local(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let server = Stepped(socket.listen(8).expect("a listener"));
+        let address = server.0.local_addr().expect("an address").to_string();
+        let mut peer = Peer::open(&address, transport(), 1);
+        peer.want(0, "a", vec![b'x'; 300_000]);
+        let mut stream = server.connection().await;
+        sleep(Duration::from_millis(50)).await; // as much as the system takes
+        let over = peer.want(1, "b", Vec::new());
+        sleep(Duration::from_millis(50)).await;
+        over.end();
+        assert!(line(&mut stream).await.starts_with("want a "));
+        stream.write_all(b"a ACK - 0\r\n\r\n").await.expect("a reader");
+        let ends = [peer.end().await, peer.end().await];
+        assert!(ends.contains(&(1, Err(Broken::CalledOff))), "{ends:?}");
+    });
+}
+
 /// A connection that comes up late held what others that were up had room for.
 #[test]
 fn an_attempt_goes_on_a_connection_that_is_up_before_one_that_is_coming_up() {
