Let clients of a fleet's play leave, and count the attempts that begin too late for them

Cause: that nothing begins for a client that has left was shown path by path only, never over all requests of a run.

Change: a plan's `leave` and `leave_within_ms` draw which clients leave and when, by closing or resetting their connections; they have random numbers of their own, so that other plans' loads stay as they were. Servers' notes are held against the moments after each run: the count, the latest, and as a broken rule whatever begins more than 0.1 s after its client left. Servers that are stalled, or reached by a hurt link, are left out for that time and 1 s more, for bytes wait there. A planted breach (asked-after-leave) has clients ask 0.2 s after they are said to have left.

--- a/crates/foxhold-lab/src/load.rs
+++ b/crates/foxhold-lab/src/load.rs
@@ -1,8 +1,9 @@
 //! An open-loop load over HTTP: arrivals are drawn ahead and wait for no answer, latency counts from the intended
 //! start, and what comes back is held against the rules.
 
+use crate::leave::{How, Leave, Leaves};
 use crate::model::size_kb;
-use crate::plan::{Plan, What};
+use crate::plan::{Breach, Plan, What};
 use crate::standin::unix_ms;
 pub use crate::trace::object;
 use rand::rngs::StdRng;
@@ -10,6 +11,7 @@
 use rand_distr::{Distribution, Exp, Zipf};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -26,6 +28,8 @@
     pub class: usize,
     /// The object's number, from 1.
     pub object: u64,
+    /// When its client leaves; none: it stays.
+    pub leave: Option<Leave>,
 }
 
 /// What a fault makes of the load while it lasts, from `at` for `lasts` seconds.
@@ -46,7 +50,7 @@
     // This part of the directors sees several times what the others see.
     let busy = (plan.often_part * plan.directors as f64).round() as usize;
     let weight = busy as f64 * plan.often + (plan.directors - busy) as f64;
-    let (mut at, mut arrivals) = (-settle, Vec::new());
+    let (mut at, mut arrivals, mut leaves) = (-settle, Vec::new(), Leaves::new(plan));
     loop {
         let times = during(plan, What::Burst, at).map_or(1.0, |f| f.times.max(0.01));
         at += gap.sample(&mut random) / times;
@@ -72,6 +76,7 @@
             director: director.min(plan.directors - 1),
             class: class.unwrap_or(0),
             object: hot.map_or(rank, |f| f.object),
+            leave: leaves.draw(),
         });
     }
 }
@@ -86,6 +91,8 @@
     Refused,
     /// Any other answer.
     Failed,
+    /// Its client left before it had an answer.
+    Left,
     /// Its director was killed or stopped under it.
     Cut,
     /// Its director was not there.
@@ -151,6 +158,8 @@
     pub ended: Vec<Ended>,
     /// Broken rules, each in a line.
     pub breaches: Vec<String>,
+    /// When clients left, in Unix milliseconds, by the ids of their requests.
+    pub left: HashMap<String, u64>,
     /// Purges so far.
     pub purges: Vec<Purged>,
     /// Requests under way.
@@ -218,8 +227,25 @@
             if class.write { "a filing" } else { "" },
         );
         let patience = Duration::from_secs_f64(class.give_up_ms / 1e3 + 0.25);
+        let planted = self.plan.is_planted(
+            Breach::AskedAfterLeave,
+            &format!("director-{}", arrival.director + 1),
+            arrival.at,
+        );
+        if planted && arrival.leave.is_some() {
+            self.book.borrow_mut().left.insert(format!("{number:016x}"), unix_ms());
+            tokio::time::sleep(PLANTED_LATE).await;
+        }
         let (begun, sent_ms) = (Instant::now(), unix_ms());
-        let answer = tokio::time::timeout(patience, self.ask(door, &head)).await;
+        let leave = arrival.leave.filter(|_| !planted);
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(patience, self.ask(door, &head, leave)) => answer,
+            () = leaves(leave) => Ok(Asked::Left),
+        };
+        if matches!(answer, Ok(Asked::Left)) {
+            // The connection has been dropped with what asked on it.
+            self.book.borrow_mut().left.insert(format!("{number:016x}"), unix_ms());
+        }
         let took = due.elapsed().as_secs_f64() * 1e3;
         let disturbed = |margin: u64| {
             let since = begun - Duration::from_millis(margin);
@@ -245,6 +271,7 @@
             Ok(Asked::Answer(429 | 503, _)) => End::Refused,
             Ok(Asked::Answer(..)) => End::Failed,
             Ok(Asked::Unreached) => End::Unreached,
+            Ok(Asked::Left) => End::Left,
             // A director that was stopped answers late what it had taken: counted as cut, not as lost.
             Ok(Asked::Broken) | Err(_) if disturbed(4_000) => End::Cut,
             Ok(Asked::Broken) => {
@@ -285,8 +312,11 @@
         ))
     }
 
-    async fn ask(&self, door: &Door, head: &str) -> Asked {
-        let kept = door.idle.borrow_mut().pop();
+    /// Asks on a connection that is kept, or a new one. Dropping the future closes the connection, and resets it
+    /// where the client is to leave so.
+    async fn ask(&self, door: &Door, head: &str, leave: Option<Leave>) -> Asked {
+        let resets = leave.is_some_and(|leave| leave.how == How::Reset);
+        let kept = if resets { None } else { door.idle.borrow_mut().pop() };
         if let Some(mut stream) = kept {
             let begun = Instant::now();
             match exchange(&mut stream, head).await {
@@ -305,9 +335,14 @@
         }
         let Ok(mut stream) = TcpStream::connect(&address).await else { return Asked::Unreached };
         let _ = stream.set_nodelay(true);
+        if resets {
+            let _ = stream.set_zero_linger();
+        }
         match exchange(&mut stream, head).await {
             Some((status, body)) => {
-                door.idle.borrow_mut().push(stream);
+                if !resets {
+                    door.idle.borrow_mut().push(stream);
+                }
                 Asked::Answer(status, body)
             }
             None => Asked::Broken,
@@ -318,8 +353,20 @@
 /// KB a second of one transfer at full pace, as directors are told.
 pub const FLOW: f64 = 9_500.0;
 
+/// A planted client asks so much later than it is said to have left.
+const PLANTED_LATE: Duration = Duration::from_millis(200);
+
+/// Returns when a client leaves; never, where it stays.
+async fn leaves(leave: Option<Leave>) {
+    match leave {
+        Some(leave) => tokio::time::sleep(Duration::from_secs_f64(leave.after)).await,
+        None => std::future::pending().await,
+    }
+}
+
 enum Asked {
     Answer(u16, Vec<u8>),
+    Left,
     Unreached,
     Broken,
 }
--- a/crates/foxhold-lab/src/plan.rs
+++ b/crates/foxhold-lab/src/plan.rs
@@ -129,6 +129,8 @@
     Twice,
     /// It says of each fill that it has the bytes of another object.
     OtherBytes,
+    /// Clients of this director that leave are said to have left 0.2 s before they ask.
+    AskedAfterLeave,
 }
 
 /// All of a play.
@@ -167,6 +169,11 @@
     pub often_part: f64,
     /// See `often_part`.
     pub often: f64,
+    /// The clients of this part of the requests leave, each at a moment drawn from those within
+    /// `leave_within_ms` after its request, by closing or resetting its connection.
+    pub leave: f64,
+    /// See `leave`.
+    pub leave_within_ms: f64,
     /// Directors talk among themselves.
     pub peers: bool,
     /// The classes.
@@ -205,6 +212,8 @@
             origin_rate: 400.0,
             often_part: 0.0,
             often: 1.0,
+            leave: 0.0,
+            leave_within_ms: 400.0,
             peers: false,
             classes: vec![
                 class("page-bits", 0.97, 40.0, 250.0, 3_000.0, false),
@@ -260,6 +269,8 @@
             ("parent_link", self.parent_link > 0.0),
             ("origin_rate", self.origin_rate > 0.0),
             ("often_part", (0.0..=1.0).contains(&self.often_part)),
+            ("leave", (0.0..=1.0).contains(&self.leave)),
+            ("leave_within_ms", self.leave_within_ms > 0.0 && self.leave_within_ms.is_finite()),
             ("classes", !self.classes.is_empty() && self.classes.iter().all(|c| c.share >= 0.0)),
         ] {
             if !good {
@@ -310,6 +321,12 @@
         Ok(())
     }
 
+    /// Whether a rule is broken on purpose by, or for, this one at a moment.
+    pub fn is_planted(&self, breach: Breach, who: &str, at: f64) -> bool {
+        let planted = |f: &&Fault| f.what == What::Plant && f.breach == Some(breach) && at >= f.at;
+        self.faults.iter().filter(planted).any(|f| self.whom(&f.who).is_some_and(|whom| whom.contains(who)))
+    }
+
     /// Everybody's name, by the group's.
     pub fn group(&self, name: &str) -> Option<(&'static str, usize)> {
         Some(match name {
@@ -375,6 +392,8 @@
             ("rate: 1e9", "rate"),
             ("seconds: 0", "seconds"),
             ("parents: 1", "parents"),
+            ("leave: 1.1", "leave"),
+            ("leave_within_ms: 0", "leave_within_ms"),
             ("faults: [{at: 99, do: burst}]", "faults, number 1"),
             ("faults: [{at: 1, do: kill, who: cache-99}]", "faults, number 1"),
             ("faults: [{at: 1, do: link, who: directors, to: nobody}]", "faults, number 1"),
--- a/crates/foxhold-lab/src/report.rs
+++ b/crates/foxhold-lab/src/report.rs
@@ -1,5 +1,6 @@
 //! What a play showed: figures as JSON, and one HTML page with plots.
 
+use crate::leave::AfterLeave;
 use crate::load::{Book, End};
 use crate::model::{Role, Spec};
 use crate::plan::{Plan, What};
@@ -70,6 +71,8 @@
     pub parent_fills: f64,
     /// See `parent_fills`.
     pub origin_fills: f64,
+    /// Attempts for clients that had left.
+    pub after_leave: AfterLeave,
     /// Suspicions of servers by directors.
     pub suspicions: usize,
     /// By server.
@@ -94,6 +97,8 @@
             specs.keys().map(|n| (n.clone(), Load { tenths: vec![0; tenths], ..Load::default() })).collect();
         let mut breaches = book.breaches;
         breaches.extend(seen.panics);
+        let (after_leave, begun_late) = AfterLeave::reckon(plan, zero_ms, &book.left, &seen.notes);
+        breaches.extend(begun_late);
         let mut ran: HashMap<String, u32> = HashMap::new();
         for (name, note) in &seen.notes {
             match note {
@@ -133,7 +138,7 @@
             if e.end == End::Served {
                 let _ = histogram.record((e.took * 1e3) as u64);
             }
-            let there = !matches!(e.end, End::Unreached | End::Cut);
+            let there = !matches!(e.end, End::Unreached | End::Cut | End::Left);
             if let Some(second) = service.get_mut(e.at as usize).filter(|_| there) {
                 second.0 += 1;
                 second.1 += u64::from(e.in_time);
@@ -172,6 +177,7 @@
             peak_server,
             parent_fills: fills(Role::Parent),
             origin_fills: fills(Role::Origin),
+            after_leave,
             suspicions: seen.suspicions.iter().filter(|s| s.0 >= zero_ms).count(),
             service,
             in_flight: book.in_flight.get(settled..).unwrap_or_default().to_vec(),
@@ -203,6 +209,13 @@
             self.parent_fills,
             self.origin_fills,
         );
+        if self.after_leave.clients > 0 {
+            let AfterLeave { clients, attempts, latest_ms, too_late } = self.after_leave;
+            text += &format!(
+                "  {clients} clients left, {attempts} attempts seen to begin after that, the latest {latest_ms} ms, \
+                 {too_late} over the term\n"
+            );
+        }
         for breach in self.breaches.iter().take(10) {
             text += &format!("  BROKEN: {breach}\n");
         }
--- a/crates/foxhold-lab/tests/fleet.rs
+++ b/crates/foxhold-lab/tests/fleet.rs
@@ -156,6 +156,28 @@
     assert!(played.breaches.iter().any(|b| b.contains("told to drain")), "{:?}", played.breaches);
 }
 
+/// Clients leave at drawn moments while caches refuse, die and are slow, and directors are stopped under them.
+#[test]
+fn nothing_begins_for_clients_that_have_left_for_a_tenth_of_a_second() {
+    let faults = "{at: 0.5, for: 2, do: slow, who: caches 1-3, times: 6}, {at: 1, for: 1.5, do: kill, who: cache-4}, \
+                  {at: 1.5, for: 0.4, do: stall, who: directors 1-2}, \
+                  {at: 3, for: 0.4, do: stall, who: directors 3-4}, {at: 3, for: 2, do: slow, who: parents, times: 4}";
+    let played = played("left", &format!("seconds: 6, leave: 0.4, leave_within_ms: 300, faults: [{faults}]"));
+    assert!(played.breaches.is_empty(), "{:?}", played.breaches);
+    assert!(played.after_leave.clients > 50, "{:?}", played.after_leave);
+    assert_eq!(played.after_leave.too_late, 0);
+}
+
+/// The check of the play above finds what begins too late.
+#[test]
+fn what_begins_for_a_client_that_is_said_to_have_left_is_found() {
+    let planted = "{at: 1, do: plant, who: director-2, breach: asked-after-leave}";
+    let played = played("planted", &format!("seconds: 3, leave: 0.3, faults: [{planted}]"));
+    let found = played.breaches.iter().filter(|b| b.contains("after its client had left")).count() as u64;
+    assert!(found > 0 && found == played.after_leave.too_late, "{:?}", played.breaches);
+    assert_eq!(found as usize, played.breaches.len(), "{:?}", played.breaches);
+}
+
 #[test]
 fn what_breaks_a_rule_is_found() {
     for (fault, found) in [
