--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -162,6 +162,23 @@
     fn has_left(&self) -> bool;
 }
 
+/// A client among what a host's server leaves with a request, for the middleware.
+#[derive(Clone, Debug)]
+pub struct ClientHandle(Arc<dyn Client>);
+
+impl ClientHandle {
+    /// Of this client.
+    pub fn new(client: impl Client + 'static) -> Self {
+        ClientHandle(Arc::new(client))
+    }
+}
+
+impl Client for ClientHandle {
+    fn has_left(&self) -> bool {
+        self.0.has_left()
+    }
+}
+
 /// Whether a request is over: answered, or let go by its client. Whoever carries its attempts looks at this
 /// last thing before the first byte: the order that calls an attempt off can find a mailbox full, or cross
 /// the attempt on its way from a connection that has ended to another; and while the runtime is held up, a
--- a/src/middleware/director.rs
+++ b/src/middleware/director.rs
@@ -1,7 +1,7 @@
 //! Requests by way of the director.
 
 use super::{only, say, Boxed, Budget, Routes};
-use crate::core::{bare_tag, Answer, Ask, Cause, Core, LARGEST_WRITE};
+use crate::core::{bare_tag, Answer, Ask, Cause, ClientHandle, Core, Pending, LARGEST_WRITE};
 use crate::director::Director;
 use crate::operator::LibrarySection;
 use crate::signed::{self, Counts, Grant, Unfit};
@@ -212,7 +212,8 @@
         let Ok(body) = Limited::new(body, LARGEST_WRITE).collect().await else { return self.bad(413, None) };
         let body = body.to_bytes();
         reserved.shrink(body.len());
-        let answer = self.handle.core.ask(Ask { body, ..ask }).await;
+        let client = parts.extensions.get::<ClientHandle>();
+        let answer = self.hand_over(Ask { body, ..ask }, client).await;
         say(&self.counts, signed::word(Ok(answer)))
     }
 
@@ -226,6 +227,13 @@
         signed::ask(&core.settings(), method, &grant, core.fresh_id(), known, Bytes::new())
     }
 
+    fn hand_over(&self, ask: Ask, client: Option<&ClientHandle>) -> Pending {
+        match client {
+            Some(client) => self.handle.core.ask_of(ask, client.clone()),
+            None => self.handle.core.ask(ask),
+        }
+    }
+
     fn bad<R: From<Bytes>>(&self, status: u16, allow: Option<&'static str>) -> Response<R> {
         self.counts.add("bad_request");
         let mut response = super::empty(status);
--- a/tests/client_gone.rs
+++ b/tests/client_gone.rs
@@ -252,12 +252,17 @@
         let second = reach(2).await;
         drop(stays);
         settle(&core).await;
-        let before = had();
-        let leaves = ask(0xb);
-        reach(before + 1).await;
-        drop(leaves);
-        sleep(second + 3 * TERM).await;
-        assert_eq!(had(), before + 1, "a second copy went out {second:?} after the first");
+        for (held_up, id) in [(false, 0xb), (true, 0xc)] {
+            let before = had();
+            let leaves = ask(id);
+            reach(before + 1).await;
+            drop(leaves);
+            if held_up {
+                std::thread::sleep(second + TERM); // the alarm and the client's end come in one moment
+            }
+            sleep(second + 3 * TERM).await;
+            assert_eq!(had(), before + 1, "a second copy, due {second:?} after the first; held up {held_up}");
+        }
     });
 }
 
@@ -292,7 +297,33 @@
     });
 }
 
-// ---- transports of the host's ----
+// ---- hosts ----
+
+/// The host's server has not told the middleware; it has left word of where the client can be looked at.
+#[cfg(feature = "middleware")]
+#[test]
+fn no_attempt_begins_by_the_middleware_for_a_client_that_can_be_seen_to_have_left() {
+    use foxhold::core::ClientHandle;
+    use foxhold::middleware::DirectorService;
+    use tower::ServiceExt;
+    local(async {
+        let mut site = Site::start().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let client = std::net::TcpStream::connect(address).expect("a listener");
+        let stream = ClientStream::new(listener.accept().await.expect("a connection").0);
+        let request =
+            http::Request::get("/videos/7f3a9c21e0b4d655").extension(ClientHandle::new(stream.client()));
+        let request = request.body(http_body_util::Empty::<&[u8]>::new()).expect("a request");
+        let service = DirectorService::new(site.core.clone(), Default::default());
+        drop(client);
+        let response = service.oneshot(request).await.expect("an answer to nobody");
+        assert!(!response.status().is_success());
+        site.settle().await;
+        site.cache_gets_only(0xb).await;
+        assert_eq!(site.others_had(), site.before);
+    });
+}
 
 /// Counts the attempts that begin.
 struct Counting(Arc<AtomicUsize>);
