--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -39,6 +39,9 @@
 /// An answer this long awaited without a byte on its connection, when it is given up, shows that the
 /// connection may be dead: a machine that vanished leaves it open and silent, also after its successor came.
 const SILENCE: Duration = Duration::from_millis(1000);
+/// Bytes that the system may hold unsent of a connection before it takes more: what it has taken can't be
+/// taken back, and behind a server that does not read it waits for as long as that lasts.
+const MOST_UNSENT: u32 = 1;
 /// The tag of a probe that asks for a sign of life.
 const SIGN: &str = "alive";
 /// Ids that were given up, whose answers may still be on the way. A retry of one of these here comes soon, so
@@ -290,6 +293,9 @@
                 connected = &mut connecting => {
                     let stream = connected.ok()?.ok()?;
                     stream.set_nodelay(true).ok()?;
+                    // Where the system can't be told, it takes more than it has sent, and that can't be
+                    // undone.
+                    let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MOST_UNSENT);
                     return Some(stream);
                 }
                 order = orders.recv(), if !closed => match order {
@@ -346,14 +352,20 @@
         true
     }
 
+    /// Whether no byte of an attempt in the out buffer is written.
+    fn is_unwritten(&self, ticket: Ticket) -> bool {
+        self.open.get(&ticket).is_some_and(|open| open.start >= self.written)
+    }
+
     /// Withdraws the attempt that waits to be written if its request is over, however that came to be known,
     /// or it is too late to send it.
     async fn drop_over(&mut self) {
+        let waits = |(ticket, ..): &&(Ticket, Over, Instant)| self.is_unwritten(*ticket);
         let how = |(ticket, over, send_by): &(Ticket, Over, Instant)| match Instant::now() > *send_by {
-            _ if over.is() => Some((*ticket, Broken::CalledOff)),
+            _ if over.look() => Some((*ticket, Broken::CalledOff)),
             late => late.then_some((*ticket, Broken::Unwritten)),
         };
-        let dropped = self.unwritten.as_ref().and_then(how);
+        let dropped = self.unwritten.as_ref().filter(waits).and_then(how);
         if let Some((ticket, how)) = dropped.filter(|(ticket, _)| self.withdraw(*ticket)) {
             self.report(ticket, Err(how)).await;
         }
