Share out descriptors by a reserve, and blame no server where this process has none

Cause: clients got up to half and servers two fifths of limits.sockets, whatever else was needed and whatever the system allowed. With the process's limit at 256 and 4096 configured, idle clients took all: the board's connection and operators' calls failed. Two processes on one inherited socket each counted on the whole. A connection that found no descriptor counted as the server's failure: 12 requests had all three servers suspected.

Change: a reserve comes first (what is open at the start, listeners, board, operators' calls, one file, refused clients), clients and servers share the rest of the lower of limits.sockets and the process's limit, or of half of it on an inherited socket.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -597,7 +597,7 @@
                 Verdict::Error => Outcome::Failed,
                 Verdict::Stale => Outcome::NotSent,
             },
-            Err(Broken::CalledOff) => Outcome::NotSent,
+            Err(Broken::CalledOff | Broken::NoDescriptor) => Outcome::NotSent,
             Err(broken) if broken.never_ran() => Outcome::ConnectError,
             Err(_) => Outcome::Reset,
         };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -122,6 +122,8 @@
 pub enum Broken {
     /// No connection came up.
     NotConnected,
+    /// No connection was tried, for this process has no descriptor left for one: no fault of the server.
+    NoDescriptor,
     /// Nothing of it was written.
     Unwritten,
     /// A part of it was written; a server runs only what came whole.
@@ -145,6 +147,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             Broken::NotConnected => "not connected",
+            Broken::NoDescriptor => "no descriptor left",
             Broken::Unwritten => "nothing written",
             Broken::PartlyWritten => "partly written",
             Broken::Written => "written, not answered",
--- /dev/null
+++ b/src/daemon/descriptors.rs
@@ -0,0 +1,77 @@
+//! How the descriptors that a process may hold are shared out: a reserve for what must always have one, the
+//! rest for connections of clients and to servers.
+
+use crate::fronts::{ops, serve};
+
+/// The board's connection.
+const BOARD: usize = 1;
+/// Files are read one at a time: the configuration and those that are watched.
+const FILES: usize = 1;
+/// The socket for talk among directors, and the state on the disk.
+#[cfg(feature = "peers")]
+const PEERS: usize = 2;
+/// Descriptors that are open already where the system does not say: standard streams, the runtime, signals.
+const USUALLY_OPEN: usize = 10;
+/// A process gets this much for connections, however low its limit.
+const LEAST_FREE: usize = 9;
+/// Of nine parts of what is free servers get four, and clients four, or five where none can make room.
+const PARTS: usize = 9;
+const PARTS_OF_SERVERS: usize = 4;
+const USUAL_PARTS_OF_CLIENTS: usize = 4;
+/// Processes that serve one inherited socket while one hands over to the other.
+const PROCESSES_OF_A_HAND_OVER: usize = 2;
+
+/// What a process opens beside connections of clients and to servers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Needs {
+    /// What is open when the shares are reckoned.
+    pub open: usize,
+    /// Listeners that are still to be opened, the operators' among them.
+    pub listeners: usize,
+    /// Whether operators have an address to call.
+    pub operators: bool,
+    /// Whether directors talk with each other.
+    pub peers: bool,
+    /// Whether another process may serve the same socket at the same time, within the same limit.
+    pub hand_over: bool,
+}
+
+impl Needs {
+    /// What must always have a descriptor.
+    pub fn reserve(&self) -> usize {
+        let operators = if self.operators { ops::MOST_DESCRIPTORS } else { 0 };
+        #[cfg(feature = "peers")]
+        let peers = if self.peers { PEERS } else { 0 };
+        #[cfg(not(feature = "peers"))]
+        let peers = 0;
+        self.open + self.listeners + BOARD + FILES + operators + peers + serve::DESCRIPTORS_BESIDE_PLACES
+    }
+}
+
+/// The shares of connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Client connections beyond which each that comes has another make room.
+    pub usual_clients: usize,
+    /// Client connections at the very most.
+    pub most_clients: usize,
+    /// Connections to all servers together.
+    pub servers: usize,
+}
+
+impl Shares {
+    /// Shares out what `limit` leaves beside the reserve.
+    pub fn new(limit: usize, needs: &Needs) -> Shares {
+        let limit = if needs.hand_over { limit / PROCESSES_OF_A_HAND_OVER } else { limit };
+        let free = limit.saturating_sub(needs.reserve()).max(LEAST_FREE);
+        let servers = free * PARTS_OF_SERVERS / PARTS;
+        let usual_clients = free * USUAL_PARTS_OF_CLIENTS / PARTS;
+        Shares { usual_clients, most_clients: free - servers, servers }
+    }
+}
+
+/// The descriptors that this process holds now.
+pub fn open_now() -> usize {
+    // The folder is one of them while it is read.
+    std::fs::read_dir("/proc/self/fd").map_or(USUALLY_OPEN, |open| open.count().saturating_sub(1))
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,20 +1,25 @@
 //! The daemon: a configuration, a source of members, the core and its fronts, put together.
 
+pub mod descriptors;
+
 use crate::api::Settings;
-use crate::core::{Clock, Message, Reports};
+use crate::core::{Clock, Core, Message, Reports, Running};
 use crate::director::{start_core, Config};
 use crate::fronts::ops::{self, Door, Reloads};
 use crate::fronts::platform::Platform;
 use crate::fronts::serve::{self, Closing, Places, Shared};
 use crate::fronts::signed::{self, parse_keys, Metrics, Signed};
-use crate::operator::{Operator, SignedSection};
+use crate::operator::{Operator, PeersSection, SignedSection};
 #[cfg(feature = "peers")]
 use crate::peers;
-use crate::signed::Counts;
+use crate::signed::{Counts, Keys};
 use crate::sources::watched::Watched;
 use crate::sources::{Board, Membership, XdsFile};
+use crate::transport::servers::Servers;
+use descriptors::{Needs, Shares};
 use std::cell::Cell;
 use std::future::Future;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,106 +51,202 @@
     configs: mpsc::Receiver<Result<Config, String>>,
     terminated: impl Future<Output = ()>,
 ) -> Result<(), String> {
+    let last_answers = inherited.is_some();
+    let shares = shares(&config, &operator, last_answers);
     let (to_board, board) = watch::channel(config.board.clone());
-    let (first, servers) = (config.clone(), Box::new(config.servers()));
-    let Config { listen, ops, seed, sockets, settings, rev, known, .. } = config;
-    let clock = Clock::system();
-    let Operator { signed, xds, peers, .. } = operator;
-    let keyed = signed.map(|file| Ok::<_, String>((Watched::open(file.keys.clone(), parse_keys)?, file)));
-    let keyed = keyed.transpose()?;
-    // Where the list comes from a file, the board tells of purges only.
-    let purges_only = xds.is_some();
-    let mut sources: Vec<Box<dyn Membership>> = Vec::new();
-    sources.extend(xds.map(|path| Box::new(XdsFile::new(path)) as Box<dyn Membership>));
-    #[cfg(not(feature = "peers"))]
-    if peers.is_some() {
-        return Err("peers: this program was built without talk among directors".into());
-    }
-    // Nothing of it is opened or started where the operator's file has no such section.
-    let (tap, notices) = peers.as_ref().map(|_| mpsc::channel(NOTICES)).unzip();
-    let told = if peers.is_some() { known.clone() } else { Vec::new() };
-    sources.push(Box::new(Board { address: board, rev, known, purges_only, tap }));
-    let running = start_core(settings, seed, clock, servers, sources)?;
-    let core = running.core;
-    #[cfg(feature = "peers")]
-    let peers = match peers.zip(notices) {
-        Some((section, notices)) => {
-            let (peers, actor) = peers::open(section, core.reports(), clock, &told, notices).await?;
-            tokio::task::spawn_local(actor.run());
-            Some(peers)
-        }
-        None => None,
-    };
-    #[cfg(not(feature = "peers"))]
-    drop((notices, told));
+    let keyed = open_keys(operator.signed)?;
+    let sources = Sources { board, xds: operator.xds, peers: operator.peers };
+    let Started { core, task, peers } = sources.start(&config, shares).await?;
     let reloads = Rc::new(Reloads::default());
-    tokio::task::spawn_local(take_over(first, configs, to_board, core.reports(), reloads.clone()));
+    tokio::task::spawn_local(take_over(config.clone(), configs, to_board, core.reports(), reloads.clone()));
     let (close, closing) = watch::channel(Closing::No);
     let open = Rc::new(Cell::new(0));
-    // Clients hold a third of the descriptors at most; a few more places let a new one in before an old one
-    // is seen to have gone, and some more where none can make room at once.
-    let places = Places::new(sockets * 2 / 5, sockets / 2);
-    let share = || {
-        let (core, closing) = (core.clone(), closing.clone());
-        Shared { core, places: places.clone(), closing, open: open.clone() }
-    };
-    let last_answers = inherited.is_some();
-    let mut accepting = vec![match inherited {
-        Some(socket) => serve::adopt(socket, share(), Platform(core.clone()))?,
-        None => serve::listen(&listen, share(), Platform(core.clone())).await?,
-    }];
-    if !ops.is_empty() {
+    let places = Places::new(shares.usual_clients, shares.most_clients);
+    let fronts = Fronts { core: core.clone(), places, closing: closing.clone(), open: open.clone() };
+    let mut accepting = vec![fronts.platform(&config.listen, inherited).await?];
+    if !config.ops.is_empty() {
         let door = Door {
             core: core.clone(),
             open: open.clone(),
-            closing: closing.clone(),
+            closing,
             reloads,
             #[cfg(feature = "peers")]
             peers: peers.clone(),
         };
         // Open until the program ends, for the figures of what is still under way.
-        ops::listen(&ops, door).await?;
+        ops::listen(&config.ops, door).await?;
     }
-    if let Some(((keys_file, keys), SignedSection { listen, metrics, .. })) = keyed {
-        let (sender, keys) = watch::channel(Arc::new(keys));
-        tokio::task::spawn_local(signed::follow_keys(keys_file, sender));
-        let counts = Arc::new(Counts::default());
-        if let Some(metrics) = metrics {
-            accepting.push(serve::listen(&metrics, share(), Metrics(counts.clone())).await?);
-        }
-        let front = Signed { core: core.clone(), keys, clock, counts };
-        accepting.push(serve::listen(&listen, share(), front).await?);
+    if let Some(keyed) = keyed {
+        accepting.extend(fronts.signed(keyed).await?);
     }
     tokio::select! {
         () = terminated => {}
-        end = running.task => return Err(format!("the core ended: {end:?}")),
+        end = task => return Err(format!("the core ended: {end:?}")),
+    }
+    Ending { accepting, last_answers, close, open, peers }.run(&core).await;
+    Ok(())
+}
+
+/// Shares out the descriptors, before anything of the director's is opened.
+fn shares(config: &Config, operator: &Operator, hand_over: bool) -> Shares {
+    let operators = !config.ops.is_empty();
+    let signed = operator.signed.as_ref().map_or(0, |s| 1 + usize::from(s.metrics.is_some()));
+    let listeners = usize::from(!hand_over) + usize::from(operators) + signed;
+    let open = descriptors::open_now();
+    let needs = Needs { open, listeners, operators, peers: operator.peers.is_some(), hand_over };
+    Shares::new(config.sockets, &needs)
+}
+
+/// The section of the signed front with its keys' file, read for the first time.
+type Keyed = (Watched, Keys, SignedSection);
+
+fn open_keys(section: Option<SignedSection>) -> Result<Option<Keyed>, String> {
+    let Some(section) = section else { return Ok(None) };
+    let (file, keys) = Watched::open(section.keys.clone(), parse_keys)?;
+    Ok(Some((file, keys, section)))
+}
+
+#[cfg(feature = "peers")]
+type Talk = Option<peers::Peers>;
+#[cfg(not(feature = "peers"))]
+type Talk = ();
+
+/// Where members and purges come from.
+struct Sources {
+    board: watch::Receiver<String>,
+    xds: Option<PathBuf>,
+    peers: Option<PeersSection>,
+}
+
+/// The core, its task, and the talk among directors.
+struct Started {
+    core: Core,
+    task: JoinHandle<()>,
+    peers: Talk,
+}
+
+impl Sources {
+    /// Opens them and starts the core, and the talk among directors where the operator's file has a section
+    /// for it; nothing of that is opened or started otherwise.
+    async fn start(self, config: &Config, shares: Shares) -> Result<Started, String> {
+        #[cfg(not(feature = "peers"))]
+        if self.peers.is_some() {
+            return Err("peers: this program was built without talk among directors".into());
+        }
+        let clock = Clock::system();
+        let (tap, notices) = self.peers.as_ref().map(|_| mpsc::channel(NOTICES)).unzip();
+        // Where the list comes from a file, the board tells of purges only.
+        let purges_only = self.xds.is_some();
+        let mut sources: Vec<Box<dyn Membership>> = Vec::new();
+        sources.extend(self.xds.map(|path| Box::new(XdsFile::new(path)) as Box<dyn Membership>));
+        let (address, rev, known) = (self.board, config.rev, config.known.clone());
+        sources.push(Box::new(Board { address, rev, known, purges_only, tap }));
+        let servers = Box::new(Servers::new(config.transport.clone(), shares.servers));
+        let Running { core, task } =
+            start_core(config.settings.clone(), config.seed, clock, servers, sources)?;
+        #[cfg(feature = "peers")]
+        let peers = match self.peers.zip(notices) {
+            Some((section, notices)) => {
+                let opened = peers::open(section, core.reports(), clock, &config.known, notices).await;
+                let (peers, actor) = opened?;
+                tokio::task::spawn_local(actor.run());
+                Some(peers)
+            }
+            None => None,
+        };
+        #[cfg(not(feature = "peers"))]
+        let peers = drop(notices);
+        Ok(Started { core, task, peers })
+    }
+}
+
+/// What the fronts of the program share.
+struct Fronts {
+    core: Core,
+    places: Rc<Places>,
+    closing: watch::Receiver<Closing>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Fronts {
+    fn share(&self) -> Shared {
+        Shared {
+            core: self.core.clone(),
+            places: self.places.clone(),
+            closing: self.closing.clone(),
+            open: self.open.clone(),
+        }
     }
-    let told = Instant::now();
-    let longest = core.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let longest = Duration::from_micros(longest).max(LEAST_DEADLINE);
-    if last_answers {
-        // Guards against taking from the shared socket what the successor should: who is served here once
-        // more is told to come anew, and comes to it.
-        accepting.iter().for_each(JoinHandle::abort);
-        let _ = close.send(Closing::AfterAnswer);
+
+    /// Opens the platform's front, on the inherited socket where there is one.
+    async fn platform(
+        &self,
+        address: &str,
+        inherited: Option<std::net::TcpListener>,
+    ) -> Result<JoinHandle<()>, String> {
+        let front = Platform(self.core.clone());
+        match inherited {
+            Some(socket) => serve::adopt(socket, self.share(), front),
+            None => serve::listen(address, self.share(), front).await,
+        }
     }
-    #[cfg(feature = "peers")]
-    if let Some(peers) = peers {
-        // Others hear at once that it goes, and the disk has all that was told; what comes is served.
-        let _ = timeout(LEAVING, peers.ask(peers::Order::Leave)).await;
+
+    /// Opens the signed front, and its figures where the operator's file says so.
+    async fn signed(&self, (keys_file, keys, section): Keyed) -> Result<Vec<JoinHandle<()>>, String> {
+        let (sender, keys) = watch::channel(Arc::new(keys));
+        tokio::task::spawn_local(signed::follow_keys(keys_file, sender));
+        let counts = Arc::new(Counts::default());
+        let mut accepting = Vec::new();
+        if let Some(metrics) = section.metrics {
+            accepting.push(serve::listen(&metrics, self.share(), Metrics(counts.clone())).await?);
+        }
+        let front = Signed { core: self.core.clone(), keys, clock: Clock::system(), counts };
+        accepting.push(serve::listen(&section.listen, self.share(), front).await?);
+        Ok(accepting)
     }
-    sleep_until(told + STILL_COMING).await;
-    let _ = close.send(Closing::Idle);
-    // Slept first: connections with a request that has begun to come are counted once they are told.
-    loop {
-        sleep(Duration::from_millis(5)).await;
-        if open.get() == 0 || told.elapsed() >= longest + STILL_COMING {
-            break;
+}
+
+/// The end of the program.
+struct Ending {
+    accepting: Vec<JoinHandle<()>>,
+    /// Clients came to an inherited socket, which a successor serves.
+    last_answers: bool,
+    close: watch::Sender<Closing>,
+    /// Requests that are taken and not answered.
+    open: Rc<Cell<usize>>,
+    #[cfg_attr(not(feature = "peers"), allow(dead_code))]
+    peers: Talk,
+}
+
+impl Ending {
+    /// Returns once what was taken is answered, or the longest deadline is over.
+    async fn run(self, core: &Core) {
+        let told = Instant::now();
+        let longest = core.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let longest = Duration::from_micros(longest).max(LEAST_DEADLINE);
+        if self.last_answers {
+            // Guards against taking from the shared socket what the successor should: who is served here once
+            // more is told to come anew, and comes to it.
+            self.accepting.iter().for_each(JoinHandle::abort);
+            let _ = self.close.send(Closing::AfterAnswer);
+        }
+        #[cfg(feature = "peers")]
+        if let Some(peers) = &self.peers {
+            // Others hear at once that it goes, and the disk has all that was told; what comes is served.
+            let _ = timeout(LEAVING, peers.ask(peers::Order::Leave)).await;
         }
+        sleep_until(told + STILL_COMING).await;
+        let _ = self.close.send(Closing::Idle);
+        // Slept first: connections with a request that has begun to come are counted once they are told.
+        loop {
+            sleep(Duration::from_millis(5)).await;
+            if self.open.get() == 0 || told.elapsed() >= longest + STILL_COMING {
+                break;
+            }
+        }
+        // The last answers are written; a moment for what the clients have not yet read.
+        sleep(Duration::from_millis(20)).await;
     }
-    // The last answers are written; a moment for what the clients have not yet read.
-    sleep(Duration::from_millis(20)).await;
-    Ok(())
 }
 
 /// Takes over what can change while the program runs: the settings, and where the board is; its numbers carry
--- a/src/director/config.rs
+++ b/src/director/config.rs
@@ -89,7 +89,8 @@
         })
     }
 
-    /// How servers are reached by it: two fifths of the descriptors are for connections to them.
+    /// How servers are reached by it where a host application serves the clients: two fifths of the
+    /// descriptors are for connections to them. The daemon shares them out by [`crate::daemon::descriptors`].
     pub fn servers(&self) -> Servers {
         Servers::new(self.transport.clone(), self.sockets * 2 / 5)
     }
--- a/src/fronts/ops.rs
+++ b/src/fronts/ops.rs
@@ -11,11 +11,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 /// Callers at a time; a further one takes the place of the one that came first.
 const MOST_CALLERS: usize = 8;
+/// The descriptors that callers hold at most: one is accepted before another makes room.
+pub const MOST_DESCRIPTORS: usize = MOST_CALLERS + 1;
 /// The longest call, and the longest where calls may name an object.
 const LONGEST_CALL: usize = 256;
 #[cfg(feature = "peers")]
@@ -77,19 +79,23 @@
 
 /// Gives each caller a task of its own, so that one that says nothing holds up no other.
 pub async fn accept(listener: TcpListener, door: Door) {
-    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|c| !c.is_finished());
                 if callers.len() >= MOST_CALLERS {
-                    callers.pop_front().iter().for_each(AbortHandle::abort);
+                    if let Some(first) = callers.pop_front() {
+                        first.abort();
+                        // Its descriptor is given back before a further caller is accepted.
+                        let _ = first.await;
+                    }
                 }
                 let door = door.clone();
                 let task = tokio::task::spawn_local(async move {
                     let _ = timeout(WHOLE_CALL, door.serve(stream)).await; // too slow: closed
                 });
-                callers.push_back(task.abort_handle());
+                callers.push_back(task);
             }
             Err(error) => {
                 tracing::warn!("operators: accept: {error}");
--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -27,6 +27,10 @@
 /// A connection that was refused is closed by its client within this, or by us after it; so many at a time.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGERING: usize = 8;
+/// Descriptors beside the places of connections: those that were refused, and one that is turned away.
+pub const DESCRIPTORS_BESIDE_PLACES: usize = LINGERING + 1;
+/// Where an accept fails, the next is tried after this.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// How often a client that sends more than is read ahead is looked at: whether it has gone.
 const LOOK: Duration = Duration::from_millis(50);
 /// An answer must be taken by then.
@@ -107,9 +111,10 @@
         match accepted {
             Ok((stream, _)) => begin(stream, &places, &shared),
             Err(error) => {
-                // Out of descriptors, most likely: others have to end first.
+                // Out of descriptors, most likely: who waits for no answer makes room.
                 tracing::warn!("clients: accept: {error}");
-                sleep(Duration::from_millis(20)).await;
+                places.make_room();
+                sleep(ACCEPT_AGAIN).await;
             }
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 use foxhold::operator::Operator;
 use foxhold::sources::xds;
 use foxhold::{daemon, log};
+use rustix::process::{getrlimit, Resource};
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -235,7 +236,7 @@
     let inherited = inherited()?;
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG does not name a configuration")?;
     let path = PathBuf::from(path);
-    let config = Config::read(&path)?;
+    let config = read_config(&path)?;
     // All off on the platform, where no file says otherwise.
     let file = std::env::var_os("FOXHOLD_FRONT").map(PathBuf::from);
     let file = file.or_else(|| OPERATOR_FILES.iter().map(PathBuf::from).find(|f| f.exists()));
@@ -272,6 +273,15 @@
 /// Reads the configuration at each SIGHUP. Those signals that come while one is under way count as one more.
 async fn reload(path: PathBuf, mut hangup: Signal, configs: mpsc::Sender<Result<Config, String>>) {
     while hangup.recv().await.is_some() {
-        let _ = configs.send(Config::read(&path)).await;
+        let _ = configs.send(read_config(&path)).await;
     }
 }
+
+/// Reads the configuration. Where the system lets this process hold fewer descriptors than it says, that
+/// counts.
+fn read_config(path: &Path) -> Result<Config, String> {
+    let mut config = Config::read(path)?;
+    let limit = getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
+    config.sockets = config.sockets.min(limit.unwrap_or(usize::MAX));
+    Ok(config)
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -21,3 +21,12 @@
         Err(error) => error.kind() != WouldBlock,
     }
 }
+
+/// The errors of a process, and of a system, that may open no further descriptor; alike on all Unix systems.
+const NO_DESCRIPTOR: [i32; 2] = [24, 23];
+
+/// Whether an attempt to open a connection failed for want of a descriptor here, which says nothing of the
+/// other side.
+pub fn is_short_of_descriptors(error: &std::io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| NO_DESCRIPTOR.contains(&code))
+}
--- a/src/transport/servers.rs
+++ b/src/transport/servers.rs
@@ -4,8 +4,8 @@
 //! own that reports ends straight to the core. An attempt that no connection began to write goes back to the
 //! actor when its connection ends, and is placed anew for as long as it may still be sent.
 
-use super::has_ended;
 use super::lines::{self, Content, Reader};
+use super::{has_ended, is_short_of_descriptors};
 use crate::api::ServerId;
 use crate::core::{Broken, Health, Listing, Message, Order, Over, Peers, Reports, Ticket, Want};
 use crate::settings::Transport;
@@ -17,7 +17,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::error::SendError;
-use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Orders that wait for an actor, or for a connection; the core ends attempts that find no place as not sent.
@@ -49,14 +49,36 @@
 #[derive(Clone, Debug)]
 pub struct Servers {
     transport: Transport,
-    /// One for each connection that may be open at a time, to all servers together.
-    places: Arc<Semaphore>,
+    places: Places,
+}
+
+/// The connections that may be open at a time, to all servers together.
+#[derive(Clone, Debug)]
+struct Places {
+    free: Arc<Semaphore>,
+    /// Where none is free, an idle connection is told to end.
+    wanted: Arc<Notify>,
+}
+
+impl Places {
+    fn new(most: usize) -> Self {
+        Places { free: Arc::new(Semaphore::new(most)), wanted: Arc::default() }
+    }
+
+    /// A place; none where all are taken, and one that is idle makes room for the next who asks.
+    fn take(&self) -> Option<OwnedSemaphorePermit> {
+        let place = self.free.clone().try_acquire_owned().ok();
+        if place.is_none() {
+            self.wanted.notify_one();
+        }
+        place
+    }
 }
 
 impl Servers {
     /// Keeps to what the settings say of connections, and to this many descriptors.
     pub fn new(transport: Transport, descriptors: usize) -> Self {
-        Servers { transport, places: Arc::new(Semaphore::new(descriptors)) }
+        Servers { transport, places: Places::new(descriptors) }
     }
 }
 
@@ -101,7 +123,7 @@
 struct Actor {
     address: Arc<str>,
     transport: Transport,
-    places: Arc<Semaphore>,
+    places: Places,
     reports: Reports,
     to_actor: mpsc::Sender<News>,
     connections: Vec<Connection>,
@@ -152,18 +174,15 @@
             }
             Order::Want(want) => {
                 let ticket = want.ticket;
-                let place = self.place(&want);
-                let id = want.id.clone();
-                let taken = place.is_some_and(|c| {
-                    let taken = c.orders.try_send(Order::Want(want)).is_ok();
-                    if taken {
-                        c.open.insert(ticket, id);
-                    }
-                    taken
+                let placed = self.place(&want).and_then(|c| {
+                    let id = want.id.clone();
+                    c.orders.try_send(Order::Want(want)).map_err(|_| Broken::Unwritten)?;
+                    c.open.insert(ticket, id);
+                    Ok(())
                 });
-                if !taken {
-                    let end = if again { Broken::NotConnected } else { Broken::Unwritten };
-                    self.reports.send(Message::Ended(ticket, Err(end))).await;
+                if let Err(how) = placed {
+                    let how = if again && how == Broken::Unwritten { Broken::NotConnected } else { how };
+                    self.reports.send(Message::Ended(ticket, Err(how))).await;
                 }
             }
             Order::Forget(ticket) => {
@@ -173,7 +192,8 @@
                 }
             }
             Order::Probe(number) => {
-                let place = self.connections.iter().position(|c| !c.suspect).or_else(|| self.connect());
+                let usable = self.connections.iter().position(|c| !c.suspect);
+                let place = usable.or_else(|| self.connect().ok());
                 let taken = place.is_some_and(|n| {
                     self.connections.get(n).is_some_and(|c| c.orders.try_send(Order::Probe(number)).is_ok())
                 });
@@ -187,29 +207,35 @@
     /// The connection for an attempt: the fullest that carries few, so that others fall idle and close, of
     /// those that are up if there are such; then a new one; then the emptiest that has room. Two attempts of
     /// one id never share a connection, for their answers could not be told apart.
-    fn place(&mut self, want: &Want) -> Option<&mut Connection> {
+    fn place(&mut self, want: &Want) -> Result<&mut Connection, Broken> {
+        // Those that have ended and whose word of it is on the way: put there, an attempt would end unsent.
+        self.connections.retain(|c| !c.orders.is_closed());
         let streams = self.transport.streams;
         let fits =
             |c: &Connection| !c.suspect && c.open.len() < streams && c.open.values().all(|id| *id != want.id);
         let found = || self.connections.iter().enumerate().filter(|(_, c)| fits(c));
         let few = found().filter(|(_, c)| c.open.len() < FEW).max_by_key(|(_, c)| (c.up, c.open.len()));
         let emptiest = found().min_by_key(|(_, c)| c.open.len()).map(|(n, _)| n);
-        let place = few.map(|(n, _)| n).or_else(|| self.connect()).or(emptiest)?;
-        self.connections.get_mut(place)
+        let place = match few {
+            Some((place, _)) => place,
+            None => self.connect().or_else(|none| emptiest.ok_or(none))?,
+        };
+        self.connections.get_mut(place).ok_or(Broken::Unwritten)
     }
 
     /// Begins a new connection; none beyond the most, and none without a descriptor for it: then the attempt
     /// ends unsent and the module looks elsewhere.
-    fn connect(&mut self) -> Option<usize> {
+    fn connect(&mut self) -> Result<usize, Broken> {
         if self.connections.len() >= MOST_CONNECTIONS {
-            return None;
+            return Err(Broken::Unwritten);
         }
-        let place = self.places.clone().try_acquire_owned().ok()?;
+        let place = self.places.take().ok_or(Broken::NoDescriptor)?;
         let (mailbox, orders) = mpsc::channel(MAILBOX);
         let number = self.next;
         self.next += 1;
         let task = Task {
             _place: place,
+            wanted: self.places.wanted.clone(),
             number,
             address: self.address.clone(),
             transport: self.transport.clone(),
@@ -229,7 +255,7 @@
         tokio::task::spawn_local(task.run(orders));
         let (open, up, suspect) = (HashMap::new(), false, false);
         self.connections.push(Connection { number, orders: mailbox, open, up, suspect });
-        Some(self.connections.len() - 1)
+        Ok(self.connections.len() - 1)
     }
 }
 
@@ -242,9 +268,20 @@
     since: Instant,
 }
 
+/// How an attempt ends whose connection did not come up. Guards the server against being suspected for what
+/// this process lacks.
+fn not_connected(error: &std::io::Error) -> Broken {
+    match is_short_of_descriptors(error) {
+        true => Broken::NoDescriptor,
+        false => Broken::NotConnected,
+    }
+}
+
 /// One connection.
 struct Task {
     _place: OwnedSemaphorePermit,
+    /// Told where a connection to any server finds no place.
+    wanted: Arc<Notify>,
     number: u64,
     address: Arc<str>,
     transport: Transport,
@@ -270,17 +307,17 @@
 impl Task {
     async fn run(mut self, mut orders: mpsc::Receiver<Order>) {
         match self.connect(&mut orders).await {
-            Some(stream) => {
+            Ok(stream) => {
                 let _ = self.actor.send(News::Up(self.number)).await;
                 let answering = self.serve(stream, &mut orders).await;
                 self.end(answering, orders).await;
             }
-            None => self.refused(orders).await,
+            Err(how) => self.refused(how, orders).await,
         }
     }
 
     /// Brings the connection up, and meanwhile takes orders, for they may be called off again.
-    async fn connect(&mut self, orders: &mut mpsc::Receiver<Order>) -> Option<TcpStream> {
+    async fn connect(&mut self, orders: &mut mpsc::Receiver<Order>) -> Result<TcpStream, Broken> {
         let address = self.address.clone();
         let connecting = timeout(self.transport.connect_timeout, TcpStream::connect(&*address));
         tokio::pin!(connecting);
@@ -288,9 +325,9 @@
         loop {
             tokio::select! {
                 connected = &mut connecting => {
-                    let stream = connected.ok()?.ok()?;
-                    stream.set_nodelay(true).ok()?;
-                    return Some(stream);
+                    let stream = connected.map_err(|_| Broken::NotConnected)?.map_err(|e| not_connected(&e))?;
+                    stream.set_nodelay(true).map_err(|_| Broken::NotConnected)?;
+                    return Ok(stream);
                 }
                 order = orders.recv(), if !closed => match order {
                     Some(order) => self.take(order).await,
@@ -414,6 +451,7 @@
         let (mut reader, mut buffer) = (Reader::default(), BytesMut::with_capacity(8 * 1024));
         // Ends before the server would end it, so that no request crosses the server's close.
         let idle = self.transport.idle.mul_f64(0.8);
+        let wanted = self.wanted.clone();
         let (mut used, mut closed) = (Instant::now(), false);
         // How far a silence has come: nothing, asked for a sign of life, doubtful.
         let mut asked = 0;
@@ -486,6 +524,7 @@
                     }
                 },
                 () = sleep_until(used + idle), if free => return None,
+                () = wanted.notified(), if free => return None,
             }
         }
     }
@@ -524,17 +563,15 @@
     }
 
     /// No connection came up: nothing ran.
-    async fn refused(mut self, mut orders: mpsc::Receiver<Order>) {
+    async fn refused(mut self, how: Broken, mut orders: mpsc::Receiver<Order>) {
         orders.close();
         while let Some(order) = orders.recv().await {
             self.take(order).await;
         }
         for order in std::mem::take(&mut self.queue) {
             match order {
-                Order::Want(want) => self.report(want.ticket, Err(Broken::NotConnected)).await,
-                Order::Probe(number) => {
-                    self.reports.send(Message::Probed(number, Err(Broken::NotConnected))).await;
-                }
+                Order::Want(want) => self.report(want.ticket, Err(how)).await,
+                Order::Probe(number) => self.reports.send(Message::Probed(number, Err(how))).await,
                 Order::Forget(_) => {}
             }
         }
