Follow a returning board within a second, also one whose machine took no connections

Cause: a connection that did not come up was waited for 1 s, and the next was begun up to 0.8 s after that.

Change: both are 0.4 s. Tests also force two orders that held already: a whole list in place of news, and a watch that falls silent after seconds of good news.

--- a/src/sources/board.rs
+++ b/src/sources/board.rs
@@ -15,11 +15,12 @@
 
 /// The board writes at least once a second; after this long without a byte the connection counts as dead.
 const SILENCE: Duration = Duration::from_millis(2500);
-/// A connection that is not up by then is tried anew.
-const CONNECT: Duration = Duration::from_millis(1000);
+/// A connection that is not up by then is tried anew. Together with the longest wait this is well under the
+/// second within which a board that returns is to be followed again, also where its machine was silent.
+const CONNECT: Duration = Duration::from_millis(400);
 /// The first wait before a new connection; doubled up to the longest.
 const FIRST_WAIT: Duration = Duration::from_millis(50);
-const LONGEST_WAIT: Duration = Duration::from_millis(800);
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
 /// The longest line: a whole list of thousands of members fits.
 const LONGEST_LINE: usize = 4 << 20;
 
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -209,3 +209,116 @@
         assert!(begun.elapsed() < std::time::Duration::from_millis(1500), "{:?}", begun.elapsed());
     });
 }
+
+/// A board of a machine that takes no connections: its queue is full, and what comes is dropped.
+struct Unreachable {
+    listener: TcpListener,
+    address: String,
+    _queue: Vec<TcpStream>,
+}
+
+impl Unreachable {
+    async fn start() -> Unreachable {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address").to_string();
+        let mut queue = Vec::new();
+        while let Ok(stream) = timeout(Duration::from_millis(200), TcpStream::connect(&address)).await {
+            queue.push(stream.expect("a connection"));
+        }
+        Unreachable { listener, address, _queue: queue }
+    }
+
+    /// Takes connections again until a follower asks for news; how long that was in coming.
+    async fn returns(self) -> Duration {
+        let begun = std::time::Instant::now();
+        let (asked, mut news) = mpsc::channel(16);
+        let listener = self.listener;
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let asked = asked.clone();
+                tokio::task::spawn_local(async move {
+                    let (mut stream, mut line) = (BufReader::new(stream), String::new());
+                    if matches!(stream.read_line(&mut line).await, Ok(1..)) {
+                        let _ = asked.send(line).await; // one that came earlier was enough
+                    }
+                });
+            }
+        });
+        assert_eq!(timeout(SOON, news.recv()).await.expect("in time").as_deref(), Some("watch 3\n"));
+        begun.elapsed()
+    }
+}
+
+/// Guards against the wait for a lost connection and the wait after it taking over a second together.
+#[test]
+fn a_board_whose_machine_took_no_connections_is_followed_within_a_second_of_its_return() {
+    local(async {
+        let mut returns = Vec::new();
+        for n in 0..10 {
+            let board = Unreachable::start().await;
+            let (reports, news) = mpsc::channel(16);
+            let (address, at) = watch::channel(board.address.clone());
+            tokio::task::spawn_local(board::follow(at, 3, false, Reports::new(reports), None));
+            returns.push(tokio::task::spawn_local(async move {
+                // By then the wait is as long as it gets; each returns at another moment of it.
+                tokio::time::sleep(Duration::from_millis(4_000 + 170 * n)).await;
+                let took = board.returns().await;
+                drop((address, news));
+                took
+            }));
+        }
+        let mut times = Vec::new();
+        for time in returns {
+            times.push(time.await.expect("a board that is followed"));
+        }
+        times.sort();
+        println!("followed after {:.0?} to {:.0?}", times[0], times[times.len() - 1]);
+        assert!(times[times.len() - 1] <= Duration::from_secs(1), "{times:?}");
+    });
+}
+
+/// Guards against a silence being seen only on a connection that never spoke: here it comes after seconds of
+/// good news, between two lines or within one.
+#[test]
+fn a_watch_that_falls_silent_late_is_left_in_time_and_asked_for_what_is_missing() {
+    for last_words in ["4\n", "{\"rev\":5,\"flush\":{\"asset\":"] {
+        local(async {
+            let mut board = Board::start(false).await;
+            let (mut stream, _) = board.connection().await;
+            stream.write_all(purge(4).as_bytes()).await.expect("a reader");
+            assert_eq!(board.purge().await, "4");
+            for _ in 0..4 {
+                stream.write_all(b"4\n").await.expect("a reader");
+                tokio::time::sleep(Duration::from_secs(1)).await;
+            }
+            stream.write_all(last_words.as_bytes()).await.expect("a reader");
+            let silent = std::time::Instant::now();
+            let (mut stream, asked) = board.connection().await;
+            let took = silent.elapsed();
+            assert_eq!(asked, "watch 4\n", "{last_words}");
+            assert!(took >= Duration::from_secs(2) && took < Duration::from_millis(3_500), "{took:?}");
+            stream.write_all((purge(5) + "5\n").as_bytes()).await.expect("a reader");
+            assert_eq!(board.purge().await, "5");
+        });
+    }
+}
+
+/// Guards against a list that comes where news was asked for being passed over, or its number not being taken.
+#[test]
+fn a_whole_list_in_place_of_news_is_taken_with_its_number_and_an_old_one_is_not() {
+    let whole = |rev: u64| MEMBERS.replace("\"rev\":5", &format!("\"rev\":{rev}"));
+    local(async {
+        let mut board = Board::start(false).await;
+        let (mut stream, _) = board.connection().await;
+        // Events 4 to 8 are in the list; it comes again, and an older one after it.
+        let lines = whole(9) + "9\n" + &whole(9) + &whole(2) + &purge(10);
+        stream.write_all(lines.as_bytes()).await.expect("a reader");
+        let first = timeout(SOON, board.news.recv()).await.expect("news in time");
+        assert!(matches!(first, Some(Message::Members { full: true, .. })), "{first:?}");
+        assert_eq!(board.purge().await, "10", "neither list again");
+        drop(stream);
+        assert_eq!(board.connection().await.1, "watch 10\n");
+    });
+}
