Force restarts at once before a board in trouble, and kills during a start

Cause: no test started many directors at once before a board that is down, frozen, slow, late, closes connections or sends its list in pieces or again and again, and none ended one within the first second of its start. /alive said 200 also where the core had ended.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo run toys sign bench
+.PHONY: build test readiness lint demo run toys sign bench
 
 build:
 	cargo build --locked --release
@@ -6,6 +6,10 @@
 test:
 	cargo test --locked --workspace --all-features
 
+# 100 directors restarted at once before each kind of trouble with the board; 30 among the tests.
+readiness:
+	FOXHOLD_READINESS_PROCESSES=100 cargo test --locked --test readiness -- --nocapture
+
 lint:
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets --all-features -- -D warnings
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -23,7 +23,7 @@
 
     fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response> {
         if head.target == "/alive" {
-            return Err(Response::empty(if head.method == "GET" { 200 } else { 405 }));
+            return Err(Response::empty(self.alive(&head.method)));
         }
         let bad = || Response::empty(400);
         let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
@@ -103,6 +103,15 @@
 }
 
 impl Platform {
+    /// The status of the answer to whether this director is ready: it is where its core can be asked.
+    fn alive(&self, method: &str) -> u16 {
+        match method {
+            "GET" if self.0.has_ended() => 503,
+            "GET" => 200,
+            _ => 405,
+        }
+    }
+
     /// What a client is told of when to come back: no longer than clients heed, and only where they do.
     fn advice(&self, wait: Duration) -> Option<Duration> {
         let settings = self.0.settings();
--- a/src/fronts/signed.rs
+++ b/src/fronts/signed.rs
@@ -64,7 +64,7 @@
 
     fn read(&self, head: &Head, body: Bytes) -> Result<Ask, Response> {
         if head.target == "/alive" {
-            return Err(Response::empty(200));
+            return Err(Response::empty(if self.core.has_ended() { 503 } else { 200 }));
         }
         let grant = self.check(head).map_err(|denied| self.say(signed::word(Err(denied))))?;
         let known = head.only("if-none-match").map(bare_tag);
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -305,7 +305,7 @@
     }
 }
 
-/// Guards against a list that comes where news was asked for being passed over, or its number not being taken.
+/// Guards against a list that comes in place of news being passed over, or its number not being taken.
 #[test]
 fn a_whole_list_in_place_of_news_is_taken_with_its_number_and_an_old_one_is_not() {
     let whole = |rev: u64| MEMBERS.replace("\"rev\":5", &format!("\"rev\":{rev}"));
