Force a reload in the moment of a drain, and say once a second that an accept failed

Cause: no test met SIGHUP and a drain, nor SIGHUP and SIGTERM, in one moment. An accept without a descriptor wrote 50 lines a second.

Result: the program held.

--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -31,6 +31,8 @@
 pub const DESCRIPTORS_BESIDE_PLACES: usize = LINGERING + 1;
 /// Where an accept fails, the next is tried after this.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// and it is said no more often than this.
+const SAID_AGAIN: Duration = Duration::from_secs(1);
 /// How often a client that sends more than is read ahead is looked at: whether it has gone.
 const LOOK: Duration = Duration::from_millis(50);
 /// An answer must be taken by then.
@@ -102,6 +104,7 @@
 pub async fn accept<F: Front>(listener: TcpListener, shared: Shared, front: F) {
     let (places, mut closing) = (shared.places.clone(), shared.closing.clone());
     let shared = Rc::new((shared, front));
+    let mut said: Option<Instant> = None;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -112,7 +115,10 @@
             Ok((stream, _)) => begin(stream, &places, &shared),
             Err(error) => {
                 // Out of descriptors, most likely: who waits for no answer makes room.
-                tracing::warn!("clients: accept: {error}");
+                if said.is_none_or(|said| said.elapsed() >= SAID_AGAIN) {
+                    tracing::warn!("clients: accept: {error}");
+                    said = Some(Instant::now());
+                }
                 places.make_room();
                 sleep(ACCEPT_AGAIN).await;
             }
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -336,3 +336,107 @@
         std::fs::remove_file(&path).expect("the file");
     });
 }
+
+/// An event of the board about the toy cache.
+fn told_of_cache(rev: u64, phase: &str, cache: &str) -> String {
+    format!(
+        "{{\"rev\":{rev},\"pool\":{{\"members\":[{{\"id\":\"toy-cache\",\"host_port\":\"{cache}\",\
+         \"locality\":\"branch\",\"flavor\":\"cache\",\"phase\":\"{phase}\",\"size\":8}}]}}}}\n"
+    )
+}
+
+/// A board that tells of the cache's drain to whoever has not heard of it, some moments after it is asked.
+async fn drains_the_cache(board: tokio::net::TcpListener, after: Duration, cache: String) {
+    while let Ok((stream, _)) = board.accept().await {
+        let (mut stream, cache) = (tokio::io::BufReader::new(stream), cache.clone());
+        tokio::task::spawn_local(async move {
+            let mut line = String::new();
+            let _ = tokio::io::AsyncBufReadExt::read_line(&mut stream, &mut line).await;
+            tokio::time::sleep(after).await;
+            if line == "watch 1\n" {
+                let _ = stream.write_all(told_of_cache(2, "terminating", &cache).as_bytes()).await;
+            }
+            while stream.write_all(b"2\n").await.is_ok() {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        });
+    }
+}
+
+/// Guards against a drain that is lost between the old board and the new one, or taken back by the list that
+/// the new configuration holds.
+#[test]
+fn a_reload_in_the_moment_of_a_drain_loses_it_in_no_order() {
+    for gap in [-20, -5, -1, 0, 1, 5, 20_i64] {
+        local(async {
+            let copy = Manner::Says("ID ACK res=cached 5\r\nbytes\r\n");
+            let [cache, parent, origin] = [(); 3].map(|()| Server::start(copy.clone()));
+            let (cache, parent, origin) = (cache.await, parent.await, origin.await);
+            let [old, new] = [(); 2].map(|()| tokio::net::TcpListener::bind("127.0.0.1:0"));
+            let (old, new) = (old.await.expect("a port"), new.await.expect("a port"));
+            let with = |board: &tokio::net::TcpListener| {
+                let board = board.local_addr().expect("an address").to_string();
+                config(&origin.address)
+                    .replace("\"board\": \"\"", &format!("\"board\": \"{board}\""))
+                    .replace("127.0.0.1:7201", &cache.address)
+                    .replace("127.0.0.1:7202", &parent.address)
+            };
+            let path = file(&format!("drain-{gap}"), &with(&old));
+            // Settings change too, so that the core hears of both.
+            let after = with(&new).replace("\"maxAttempts\": 6", "\"maxAttempts\": 5");
+            let mut child = start(&path);
+            let address = address(&mut child);
+            let read = |id: u64| {
+                format!(
+                    "GET /ops/guide-videos/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Job-Id: {id:016x}\r\n\
+                     X-Allow-Ms: 1500\r\nConnection: close\r\n\r\n"
+                )
+            };
+            assert_eq!(send(&address, &read(1)).await.status, 200);
+            assert!(!cache.wants().is_empty(), "it goes to the cache");
+            std::fs::write(&path, after).expect("a file");
+            let told = Duration::from_millis(100);
+            tokio::task::spawn_local(drains_the_cache(old, told, cache.address.clone()));
+            tokio::task::spawn_local(drains_the_cache(new, told, cache.address.clone()));
+            let reload = 100 + gap;
+            tokio::time::sleep(Duration::from_millis(reload as u64)).await;
+            signal(&mut child, "HUP");
+            tokio::time::sleep(Duration::from_millis(1_200)).await;
+            let sent = cache.wants().len();
+            for id in 2..22 {
+                assert_eq!(send(&address, &read(id)).await.status, 200);
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            let late = cache.wants().split_off(sent);
+            assert!(late.is_empty(), "reload {gap} ms after the drain: {late:?}");
+            std::fs::remove_file(&path).expect("the file");
+        });
+    }
+}
+
+/// Guards against a reload that ends the program's end, or the other way round: what was taken is answered.
+#[test]
+fn a_reload_in_the_moment_of_the_program_s_end_leaves_both_as_they_are() {
+    for signals in [["HUP", "TERM"], ["TERM", "HUP"]] {
+        local(async {
+            let origin = Server::start(Manner::Says("")).await;
+            let path = file(&format!("end-{}", signals[0]), &config(&origin.address));
+            let mut child = start(&path);
+            let address = address(&mut child);
+            let request =
+                "PUT /ops/filing-submit/00000000000000aa HTTP/1.1\r\nX-Job-Id: 0000000000000001\r\n\
+                           X-Allow-Ms: 1500\r\nContent-Length: 0\r\n\r\n";
+            let mut open = TcpStream::connect(&address).await.expect("a listener");
+            open.write_all(request.as_bytes()).await.expect("a reader");
+            asked(&origin).await;
+            let command = signals.map(|name| format!("kill -{name} {}", child.child().id())).join("; ");
+            assert!(Command::new("sh").args(["-c", &command]).status().expect("a shell").success());
+            let mut answer = Vec::new();
+            open.read_to_end(&mut answer).await.expect("an answer");
+            assert!(answer.starts_with(b"HTTP/1.1 504 "), "{}", String::from_utf8_lossy(&answer));
+            let status = tokio::task::spawn_blocking(move || child.child().wait()).await.expect("a thread");
+            assert!(status.expect("an end").success());
+            std::fs::remove_file(&path).expect("the file");
+        });
+    }
+}
