--- a/src/fronts/serve.rs
+++ b/src/fronts/serve.rs
@@ -32,6 +32,12 @@
 /// A connection that was refused is closed by its client within this, or by us after it; so many at a time.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGERING: usize = 8;
+/// Descriptors beside the places of connections: those that were refused, and one that is turned away.
+pub const DESCRIPTORS_BESIDE_PLACES: usize = LINGERING + 1;
+/// Where an accept fails, the next is tried after this.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// and it is said no more often than this.
+const SAID_AGAIN: Duration = Duration::from_secs(1);
 /// An answer must be taken by then.
 const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 
@@ -101,6 +107,7 @@
 pub async fn accept<F: Front>(listener: TcpListener, shared: Shared, front: F) {
     let (places, mut closing) = (shared.places.clone(), shared.closing.clone());
     let shared = Rc::new((shared, front));
+    let mut said: Option<Instant> = None;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -110,9 +117,13 @@
         match accepted {
             Ok((stream, _)) => begin(stream, &places, &shared),
             Err(error) => {
-                // Out of descriptors, most likely: others have to end first.
-                tracing::warn!("clients: accept: {error}");
-                sleep(Duration::from_millis(20)).await;
+                // Out of descriptors, most likely: who waits for no answer makes room.
+                if said.is_none_or(|said| said.elapsed() >= SAID_AGAIN) {
+                    tracing::warn!("clients: accept: {error}");
+                    said = Some(Instant::now());
+                }
+                places.make_room();
+                sleep(ACCEPT_AGAIN).await;
             }
         }
     }
