Split the actor of replication among directors into modules with one job each

The struct is now made of its parts: Transport, Membership (with Timers and DuplicateNames), CoreFeed (with DrainFeed), Persistence and CatchUp, each in a module of its own; the actor joins them and runs the event loop. open is in startup, in steps. Public paths stay, by re-exports. Log events keep the target foxhold::peers.

--- /dev/null
+++ b/src/peers/actor.rs
@@ -0,0 +1,205 @@
+//! The actor: one task that waits for datagrams, commands, events of the discovery source and timers.
+
+use super::catch_up::{stage_name, CatchUp};
+use super::core_feed::CoreFeed;
+use super::frame::LARGEST;
+use super::handle::Order;
+use super::members::Members;
+use super::membership::Membership;
+use super::persistence::Persistence;
+use super::source;
+use super::store::Store;
+use super::transport::Transport;
+use crate::api::Micros;
+use crate::core::{Clock, Reports};
+use crate::operator::PeersSection;
+use crate::replica::state::{Now, Refused};
+use crate::replica::talk::{News, Talk};
+use crate::replica::word::{Key, Kind, Word};
+use crate::sources::board::Notice;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{interval, Instant, MissedTickBehavior};
+
+/// The longest that an update waits before it is sent, so that several share a message.
+const TICK: Duration = Duration::from_millis(20);
+/// Datagrams taken one after the other before anything else is looked at.
+const RECEIVE_BATCH: usize = 4;
+
+/// What the actor is made of.
+pub(super) struct Parts {
+    /// The operator's settings.
+    pub(super) section: PeersSection,
+    /// The replicated state and its protocol.
+    pub(super) replication: Talk<SocketAddr>,
+    /// The membership protocol.
+    pub(super) members: Members,
+    /// The socket.
+    pub(super) transport: Transport,
+    /// The writer to the disk, if the state is stored.
+    pub(super) store: Option<Store>,
+    /// The way to the core.
+    pub(super) core: Reports,
+    /// The clock.
+    pub(super) clock: Clock,
+    /// Commands from this process.
+    pub(super) commands: mpsc::Receiver<Order>,
+    /// Events of the discovery source.
+    pub(super) notices: mpsc::Receiver<Notice>,
+}
+
+/// The actor; it does nothing until it runs.
+pub struct Actor {
+    pub(super) replication: Talk<SocketAddr>,
+    pub(super) membership: Membership,
+    pub(super) transport: Transport,
+    pub(super) core: CoreFeed,
+    pub(super) persistence: Persistence,
+    catch_up: CatchUp,
+    clock: Clock,
+    commands: mpsc::Receiver<Order>,
+    notices: mpsc::Receiver<Notice>,
+}
+
+impl Actor {
+    /// Puts the parts together. Entries that a disk held are handled like those that peers send.
+    pub(super) fn new(parts: Parts) -> Actor {
+        let (section, now) = (parts.section, Instant::now());
+        let mut actor = Actor {
+            replication: parts.replication,
+            membership: Membership::new(parts.members, section.seeds, now),
+            transport: parts.transport,
+            core: CoreFeed::new(parts.core, section.purges_kept.as_micros() as Micros),
+            persistence: Persistence::new(parts.store, now),
+            catch_up: CatchUp::new(section.careful, now),
+            clock: parts.clock,
+            commands: parts.commands,
+            notices: parts.notices,
+        };
+        let stored = Kind::ALL.into_iter().flat_map(|kind| actor.replication.state.of(kind));
+        let stored: Vec<News> =
+            stored.map(|(key, word)| News { key: key.clone(), word: word.clone() }).collect();
+        stored.into_iter().for_each(|update| actor.accept(update));
+        actor
+    }
+
+    pub(super) fn now(&self) -> Now {
+        Now { steady: self.clock.now(), unix: self.clock.unix() }
+    }
+
+    /// Runs until the last handle is dropped, or until it is told to leave.
+    pub async fn run(mut self) {
+        self.catch_up.begin(&self.core, self.clock.unix()).await;
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; LARGEST + 1];
+        loop {
+            let deadline = self.membership.next_deadline();
+            let expired = tokio::time::sleep_until(deadline.unwrap_or_else(Instant::now));
+            tokio::select! {
+                received = self.transport.receive(&mut buffer) => {
+                    self.receive_batch(received.ok(), &mut buffer);
+                    // Requests go first: thousands of entries may be on the way here.
+                    tokio::task::yield_now().await;
+                }
+                command = self.commands.recv() => match command {
+                    Some(Order::Leave(done)) => return self.leave(done).await,
+                    Some(command) => self.execute(command),
+                    None => return,
+                },
+                Some(notice) = self.notices.recv() => self.apply_notice(&notice),
+                () = expired, if deadline.is_some() => self.expire_timers(),
+                _ = ticks.tick() => self.tick().await,
+            }
+        }
+    }
+
+    /// Handles the datagram in the buffer, and some that have arrived meanwhile: to wait for each would cost
+    /// more than they do.
+    fn receive_batch(&mut self, size: Option<usize>, buffer: &mut [u8]) {
+        if let Some(size) = size {
+            self.handle_datagram(&buffer[..size]);
+        }
+        for _ in 0..RECEIVE_BATCH {
+            let Ok(size) = self.transport.try_receive(buffer) else { break };
+            self.handle_datagram(&buffer[..size]);
+        }
+    }
+
+    async fn tick(&mut self) {
+        let (now, at) = (self.now(), Instant::now());
+        self.tick_replication(now);
+        self.tick_membership(at);
+        let (stage, entries) = (self.replication.stage(), self.replication.state.len());
+        self.catch_up.update(stage, entries, &self.core, at).await;
+        self.core.flush(&self.replication.state, at);
+        self.persistence.write_if_due(&self.replication.state, at, self.clock.unix());
+    }
+
+    async fn leave(mut self, done: oneshot::Sender<()>) {
+        let due = self.membership.members.leave();
+        self.apply_membership(due);
+        self.persistence.write(&self.replication.state, Instant::now(), self.clock.unix());
+        self.persistence.close().await;
+        let _ = done.send(()); // who asked may have gone
+    }
+
+    /// Takes over an entry that is new to this director, to be written and delivered to the core.
+    pub(super) fn accept(&mut self, update: News) {
+        self.persistence.mark(&update.key);
+        self.core.accept(update, &self.replication.state);
+    }
+
+    /// Applies an event of the discovery source and spreads what changed by it.
+    fn apply_notice(&mut self, notice: &Notice) {
+        let now = self.now();
+        for (key, word) in source::apply(&mut self.replication.state, notice, now) {
+            // The core has it from the source itself, except for how long a purge is kept here.
+            if key.kind() == Kind::Purges {
+                self.core.push(News { key: key.clone(), word: word.clone() });
+            }
+            self.persistence.mark(&key);
+            if let Key::Listed(name) = &key {
+                self.core.recheck_drain(name, &self.replication.state);
+            }
+            self.replication.told(Some((key, word)));
+        }
+    }
+
+    /// Executes a command. A reply that nobody waits for any more is dropped.
+    fn execute(&mut self, command: Order) {
+        let now = self.now();
+        match command {
+            Order::Drain(name, on, reply) => {
+                let change = self.replication.state.drain(&name, on, now);
+                self.finish_change(change, reply);
+            }
+            Order::Purge(key, reply) => {
+                let change = self.replication.state.purge(key, now.unix, now);
+                self.finish_change(change, reply);
+            }
+            Order::Show(reply) => drop(reply.send(self.status(now))),
+            Order::List(kind, reply) => drop(reply.send(self.list(kind))),
+            Order::Stage(reply) => drop(reply.send(stage_name(self.replication.stage()))),
+            Order::Leave(_) => {}
+        }
+    }
+
+    /// Replies to an operator's change, takes it over and spreads it at once: a tick is a long time for an
+    /// operator who waits for a drain.
+    fn finish_change(
+        &mut self,
+        change: Result<Option<(Key, Word)>, Refused>,
+        reply: oneshot::Sender<Result<bool, Refused>>,
+    ) {
+        let _ = reply.send(change.as_ref().map(Option::is_some).map_err(|cause| *cause));
+        let change = change.ok().flatten();
+        if let Some((key, word)) = &change {
+            self.accept(News { key: key.clone(), word: word.clone() });
+        }
+        self.replication.told(change);
+        self.tick_replication(self.now());
+        self.core.flush(&self.replication.state, Instant::now());
+    }
+}
--- /dev/null
+++ b/src/peers/gossip.rs
@@ -0,0 +1,111 @@
+//! The actor's side of the two protocols: messages in, messages out.
+
+use super::actor::Actor;
+use super::frame::Body;
+use super::members::{Due, Member};
+use super::LOG_TARGET;
+use crate::replica::state::Now;
+use crate::replica::talk::Say;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+impl Actor {
+    /// Handles one datagram.
+    pub(super) fn handle_datagram(&mut self, datagram: &[u8]) {
+        let Some(message) = self.transport.open(datagram) else { return };
+        let now = self.now();
+        if let Some(greeting) = self.membership.received(&message.from, now.steady) {
+            self.apply_membership(greeting);
+        }
+        match message.body {
+            Body::Swim(bytes) => {
+                let due = self.membership.members.heard(&bytes);
+                self.apply_membership(due);
+            }
+            Body::Say(body) => self.handle_replication(&message.from, body, now),
+        }
+    }
+
+    fn handle_replication(&mut self, from: &Member, body: Say, now: Now) {
+        let before = self.replication.counts().clone();
+        let mut replies = Vec::new();
+        self.replication.heard(&from.address, body, now, &mut replies);
+        let after = self.replication.counts();
+        if after.differing > before.differing {
+            tracing::warn!(
+                target: LOG_TARGET,
+                "peers: {} sent another copy of the same version",
+                from.name
+            );
+        }
+        if after.refused != before.refused {
+            tracing::debug!(
+                target: LOG_TARGET,
+                "peers: entries of {} turned down: {:?}",
+                from.name,
+                after.refused
+            );
+        }
+        self.send_replication(replies);
+    }
+
+    /// Lets the replication protocol send what is due.
+    pub(super) fn tick_replication(&mut self, now: Now) {
+        let mut messages = Vec::new();
+        self.replication.tick(now, &mut messages);
+        self.send_replication(messages);
+    }
+
+    /// Sends messages, and takes over the entries that changed since the last time.
+    fn send_replication(&mut self, messages: Vec<(SocketAddr, Say)>) {
+        for (to, message) in messages {
+            self.transport.send(self.membership.members.me(), to, Body::Say(message));
+        }
+        let updates = self.replication.news();
+        if !updates.is_empty() {
+            updates.into_iter().for_each(|update| self.accept(update));
+            self.core.flush(&self.replication.state, Instant::now());
+        }
+    }
+
+    /// Announces this director where that is due, and looks for duplicate names.
+    pub(super) fn tick_membership(&mut self, now: Instant) {
+        if let Some(seeds) = self.membership.seeds_due(now) {
+            self.announce(seeds);
+            self.membership.check_names(now);
+        }
+        let peers = self.membership.discovery_due(self.replication.peers(), now);
+        self.announce(peers);
+    }
+
+    fn announce(&mut self, addresses: Vec<SocketAddr>) {
+        for address in addresses {
+            let due = self.membership.members.announce(address);
+            self.apply_membership(due);
+        }
+    }
+
+    /// Lets the membership protocol handle its timers that have expired.
+    pub(super) fn expire_timers(&mut self) {
+        let now = Instant::now();
+        while let Some(due) = self.membership.expire(now) {
+            self.apply_membership(due);
+        }
+    }
+
+    /// Does what the membership protocol asks for.
+    pub(super) fn apply_membership(&mut self, due: Due) {
+        for (to, bytes) in due.send {
+            self.transport.send(self.membership.members.me(), to, Body::Swim(bytes));
+        }
+        self.membership.schedule(due.timers);
+        if due.changes.is_empty() {
+            return;
+        }
+        for change in due.changes {
+            tracing::info!(target: LOG_TARGET, "peers: {change}");
+        }
+        let peers = self.membership.refresh();
+        self.replication.members(peers);
+    }
+}
--- /dev/null
+++ b/src/peers/persistence.rs
@@ -0,0 +1,80 @@
+//! Decides when which entries are written to the disk.
+
+use super::store::Store;
+use crate::api::Micros;
+use crate::replica::state::State;
+use crate::replica::word::{Key, Kind};
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Changes are written this often.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+/// Without a change the time of the last write is renewed this often.
+const TIMESTAMP_INTERVAL: Duration = Duration::from_secs(5);
+/// How long the last writes are waited for when the director ends.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Entries that are to be written; without a store nothing is.
+pub(super) struct Persistence {
+    store: Option<Store>,
+    dirty: BTreeSet<Key>,
+    next_write: Instant,
+    last_write: Instant,
+}
+
+impl Persistence {
+    /// With nothing to write. Without a store the state is kept in memory only.
+    pub(super) fn new(store: Option<Store>, now: Instant) -> Persistence {
+        Persistence { store, dirty: BTreeSet::new(), next_write: now, last_write: now }
+    }
+
+    /// Marks an entry as changed.
+    pub(super) fn mark(&mut self, key: &Key) {
+        if self.store.is_some() {
+            self.dirty.insert(key.clone());
+        }
+    }
+
+    /// Writes if it is time to.
+    pub(super) fn write_if_due(&mut self, state: &State, now: Instant, unix: Micros) {
+        if now >= self.next_write {
+            self.write(state, now, unix);
+        }
+    }
+
+    /// Hands what has changed to the writer, or all entries after a write that failed.
+    pub(super) fn write(&mut self, state: &State, now: Instant, unix: Micros) {
+        let Some(store) = &self.store else { return };
+        self.next_write = now + WRITE_INTERVAL;
+        let whole = store.told.lacking.load(Ordering::Relaxed);
+        if self.dirty.is_empty() && !whole && now - self.last_write < TIMESTAMP_INTERVAL {
+            return;
+        }
+        let keys = std::mem::take(&mut self.dirty);
+        let batch = if whole {
+            let all = Kind::ALL.into_iter().flat_map(|kind| state.of(kind));
+            all.map(|(key, word)| (key.clone(), Some(word.clone()))).collect()
+        } else {
+            keys.into_iter().map(|key| (key.clone(), state.get(&key).cloned())).collect()
+        };
+        match store.write(batch, unix, whole) {
+            Ok(()) => self.last_write = now,
+            Err(keys) => self.dirty.extend(keys),
+        }
+    }
+
+    /// Waits, for a bounded time, until all that was handed over is written.
+    pub(super) async fn close(self) {
+        if let Some(store) = self.store {
+            store.finish(CLOSE_TIMEOUT).await;
+        }
+    }
+
+    /// Batches written and batches that failed, since the start.
+    pub(super) fn counts(&self) -> (u64, u64) {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        self.store.as_ref().map_or((0, 0), |store| (read(&store.told.written), read(&store.told.failed)))
+    }
+}
--- /dev/null
+++ b/src/peers/report.rs
@@ -0,0 +1,97 @@
+//! Answers to operators' questions: the status with its metrics, and the list of entries.
+
+use super::actor::Actor;
+use super::catch_up::stage_name;
+use super::members::Member;
+use super::status::{Shown, ShownPeer};
+use crate::api::{MemberState, Micros};
+use crate::replica::state::Now;
+use crate::replica::word::{Key, Kind, Word};
+use std::collections::BTreeMap;
+
+impl Actor {
+    /// All entries of a kind, a line each.
+    pub(super) fn list(&self, kind: Kind) -> Vec<String> {
+        self.replication.state.of(kind).into_iter().map(|(key, word)| line(key, word)).collect()
+    }
+
+    /// The status, as JSON.
+    pub(super) fn status(&self, now: Now) -> String {
+        let state = &self.replication.state;
+        let own = self.membership.members.me();
+        let dead = self.membership.members.dead().into_iter();
+        miniserde::json::to_string(&Shown {
+            name: own.name.clone(),
+            address: own.address.to_string(),
+            incarnation: own.incarnation,
+            stage: stage_name(self.replication.stage()).into(),
+            entries: Kind::ALL.iter().map(|k| (k.name().to_owned(), state.count(*k) as u64)).collect(),
+            bytes: state.bytes() as u64,
+            peers: self.peers(now),
+            gone: dead.map(|m| format!("{} at {}", m.name, m.address)).collect(),
+            twins: self.membership.duplicates.lines(),
+            counts: self.counts(),
+            turned_down: self.rejected(),
+        })
+    }
+
+    fn peers(&self, now: Now) -> Vec<ShownPeer> {
+        let ms_since = |at: Micros| now.steady.saturating_sub(at) / 1_000;
+        let peer = |member: Member| ShownPeer {
+            heard_ms: self.membership.last_received(&member).map(ms_since),
+            alike_ms: self.replication.alike(&member.address).map(ms_since),
+            name: member.name,
+            address: member.address.to_string(),
+        };
+        let mut peers: Vec<ShownPeer> = self.membership.members.others().into_iter().map(peer).collect();
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        peers
+    }
+
+    fn counts(&self) -> BTreeMap<String, u64> {
+        let replication = self.replication.counts();
+        let transport = &self.transport.counts;
+        let (disk_written, disk_failed) = self.persistence.counts();
+        let counts = [
+            ("taken", replication.taken),
+            ("known", replication.known),
+            ("differing", replication.differing),
+            ("rumours_dropped", replication.rumours_dropped),
+            ("unlike", replication.unlike),
+            ("sources_turned", replication.turned),
+            ("sent", transport.sent),
+            ("sent_bytes", transport.sent_bytes),
+            ("received_bytes", transport.received_bytes),
+            ("unsent", transport.unsent),
+            ("disk_written", disk_written),
+            ("disk_failed", disk_failed),
+        ];
+        counts.into_iter().map(|(name, n)| (name.to_owned(), n)).collect()
+    }
+
+    /// What was rejected, by cause: datagrams, entries and messages of the membership protocol.
+    fn rejected(&self) -> BTreeMap<String, u64> {
+        let datagrams = self.transport.counts.rejected.iter();
+        let datagrams = datagrams.map(|(cause, n)| (cause.name().to_owned(), *n));
+        let entries = self.replication.counts().refused.iter();
+        let entries = entries.map(|(cause, n)| (format!("entry_{cause:?}").to_lowercase(), *n));
+        let membership = [("members".to_owned(), self.membership.members.turned_down)];
+        datagrams.chain(entries).chain(membership).collect()
+    }
+}
+
+fn line(key: &Key, word: &Word) -> String {
+    match word {
+        Word::Purged(at) => format!("{key} purged at {}.{:06}", at / 1_000_000, at % 1_000_000),
+        Word::Drain(words) => {
+            let verb = if words.drains() { "drains" } else { "does not drain" };
+            let count = words.told.len() + words.undone.len();
+            format!("{key} {verb}, process of {}, {count} words", words.since)
+        }
+        Word::Listed(rev, place) => match place.listing("").state {
+            MemberState::Running => format!("{key} in service at {}, event {rev}", place.address),
+            MemberState::Draining => format!("{key} terminating at {}, event {rev}", place.address),
+            MemberState::Gone => format!("{key} terminated, event {rev}"),
+        },
+    }
+}
--- /dev/null
+++ b/src/peers/startup.rs
@@ -0,0 +1,100 @@
+//! Opens what the actor needs: the keys, the socket and the stored state.
+
+use super::actor::{Actor, Parts};
+use super::frame::{parse_keys, Seal};
+use super::handle::{Peers, COMMAND_QUEUE};
+use super::members::{Member, Members};
+use super::store::{self, Store};
+use super::transport::Transport;
+use super::{draw, source, LOG_TARGET};
+use crate::api::Micros;
+use crate::core::{Clock, Reports};
+use crate::operator::PeersSection;
+use crate::replica::state::{Bounds, Now, State};
+use crate::replica::talk::Talk;
+use crate::replica::word::Run;
+use crate::sources::board::Notice;
+use std::path::Path;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Bytes of entries that the state may hold, for each entry that it may hold.
+const BYTES_PER_ENTRY: usize = 512;
+
+/// Opens the socket and the stored state. `known`: events of the discovery source that the configuration
+/// holds; `notices`: its further ones. An error is one line that names the key at fault.
+pub async fn open(
+    section: PeersSection,
+    core: Reports,
+    clock: Clock,
+    known: &[Notice],
+    notices: mpsc::Receiver<Notice>,
+) -> Result<(Peers, Actor), String> {
+    let seal = read_keys(&section)?;
+    let socket = UdpSocket::bind(section.listen)
+        .await
+        .map_err(|e| format!("peers.listen: {}: {e}", section.listen))?;
+    let (now, run) = (Now { steady: clock.now(), unix: clock.unix() }, draw());
+    let mut state = State::new(Run(run), bounds(&section));
+    let (store, incarnation) = match &section.folder {
+        Some(folder) => restore(folder, &mut state, now).map(|(store, n)| (Some(store), n))?,
+        None => (None, now.unix),
+    };
+    for notice in known {
+        source::apply(&mut state, notice, now);
+    }
+    let own = Member::new(&section.name, section.advertise, incarnation);
+    let (sender, commands) = mpsc::channel(COMMAND_QUEUE);
+    let actor = Actor::new(Parts {
+        replication: Talk::new(state, run, now),
+        members: Members::new(own, section.about, run),
+        transport: Transport::new(socket, seal, section.advertise, run),
+        store,
+        core,
+        clock,
+        commands,
+        notices,
+        section,
+    });
+    Ok((Peers(sender), actor))
+}
+
+fn read_keys(section: &PeersSection) -> Result<Seal, String> {
+    let file = section.key.display();
+    let text = std::fs::read_to_string(&section.key).map_err(|e| format!("peers.key: {file}: {e}"))?;
+    let keys = parse_keys(&text).map_err(|e| format!("peers.key: {file}: {e}"))?;
+    Seal::new(&section.fleet, &keys).ok_or("peers.key: no usable key".into())
+}
+
+/// Loads the stored entries into the state; returns the store and the incarnation to start with.
+fn restore(folder: &Path, state: &mut State, now: Now) -> Result<(Store, u64), String> {
+    let (store, stored) = store::begin(folder, now.unix)?;
+    if let Some(put_aside) = &stored.put_aside {
+        tracing::warn!(
+            target: LOG_TARGET,
+            "peers: the state on the disk is broken: {put_aside}; it is fetched from the others"
+        );
+    }
+    let entries = stored.entries.len();
+    let taken = stored.entries.iter().filter(|(key, word)| state.merge(key, word, now).is_ok()).count();
+    // A clock that was set back makes the age unknown, which counts as too old.
+    let age = now.unix.checked_sub(stored.saved);
+    if stored.saved > 0 && age.is_none_or(|age| age > state.bounds().horizon) {
+        let forgotten = state.away();
+        tracing::info!(
+            target: LOG_TARGET,
+            "peers: the state on the disk is older than the horizon: {forgotten} listings forgotten"
+        );
+    }
+    tracing::info!(target: LOG_TARGET, "peers: {taken} of {entries} entries taken from the disk");
+    Ok((store, stored.incarnation))
+}
+
+fn bounds(section: &PeersSection) -> Bounds {
+    Bounds {
+        entries: section.entries,
+        bytes: section.entries.saturating_mul(BYTES_PER_ENTRY),
+        purges_kept: section.purges_kept.as_micros() as Micros,
+        horizon: section.horizon.as_micros() as Micros,
+    }
+}
--- /dev/null
+++ b/src/peers/transport.rs
@@ -0,0 +1,104 @@
+//! Authenticated datagrams over one UDP socket, without duplicates or replays.
+
+use super::frame::{Body, Foreign, Message, Seal};
+use super::members::Member;
+use crate::replica::fresh::Fresh;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::UdpSocket;
+
+/// Senders whose message numbers are remembered.
+const REMEMBERED_SENDERS: usize = 4096;
+
+/// Totals since the start.
+#[derive(Debug, Default)]
+pub(super) struct TransportCounts {
+    /// Datagrams sent.
+    pub(super) sent: u64,
+    /// Bytes sent.
+    pub(super) sent_bytes: u64,
+    /// Bytes received.
+    pub(super) received_bytes: u64,
+    /// Messages that were too large, or that the socket's buffer had no room for.
+    pub(super) unsent: u64,
+    /// Datagrams rejected, by cause.
+    pub(super) rejected: BTreeMap<Foreign, u64>,
+}
+
+/// The socket, and the state by which messages are sealed, numbered and checked.
+pub(super) struct Transport {
+    socket: UdpSocket,
+    seal: Seal,
+    /// Where other directors reach this one; what claims to be from there is rejected.
+    own_address: SocketAddr,
+    /// Drawn anew at each start of the process.
+    run: u64,
+    /// The number of the message sent last.
+    sequence: u64,
+    received: Fresh<SocketAddr>,
+    /// Totals since the start.
+    pub(super) counts: TransportCounts,
+}
+
+impl Transport {
+    /// Over a bound socket.
+    pub(super) fn new(socket: UdpSocket, seal: Seal, own_address: SocketAddr, run: u64) -> Transport {
+        Transport {
+            socket,
+            seal,
+            own_address,
+            run,
+            sequence: 0,
+            received: Fresh::new(REMEMBERED_SENDERS),
+            counts: TransportCounts::default(),
+        }
+    }
+
+    /// Sends a message, or drops it and counts that: every message of both protocols may be lost.
+    pub(super) fn send(&mut self, from: &Member, to: SocketAddr, body: Body) {
+        self.sequence += 1;
+        let message = Message { from: from.clone(), run: self.run, number: self.sequence, body };
+        let Some(datagram) = self.seal.seal(&message) else {
+            self.counts.unsent += 1;
+            return;
+        };
+        match self.socket.try_send_to(&datagram, to) {
+            Ok(_) => {
+                self.counts.sent += 1;
+                self.counts.sent_bytes += datagram.len() as u64;
+            }
+            Err(_) => self.counts.unsent += 1,
+        }
+    }
+
+    /// Waits for a datagram and returns its size.
+    pub(super) async fn receive(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.socket.recv_from(buffer).await.map(|(size, _)| size)
+    }
+
+    /// Takes a datagram that has already arrived and returns its size.
+    pub(super) fn try_receive(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.socket.try_recv_from(buffer).map(|(size, _)| size)
+    }
+
+    /// Verifies and decodes a datagram. What is rejected is counted by its cause.
+    pub(super) fn open(&mut self, datagram: &[u8]) -> Option<Message> {
+        self.counts.received_bytes += datagram.len() as u64;
+        match self.seal.open(datagram).and_then(|message| self.first_time(message)) {
+            Ok(message) => Some(message),
+            Err(cause) => {
+                *self.counts.rejected.entry(cause).or_default() += 1;
+                None
+            }
+        }
+    }
+
+    fn first_time(&mut self, message: Message) -> Result<Message, Foreign> {
+        let from = message.from.address;
+        if from == self.own_address || !self.received.take(&from, message.run, message.number) {
+            return Err(Foreign::Replayed);
+        }
+        Ok(message)
+    }
+}
