Name members, datagrams, the store and the status in the field's standard words

Under src/peers names said little (Due, Found, Told, Foreign, LARGEST) or were words of our own (heard, rang, twins, there, met, Shown, door).

The path peers::door still leads to peers::admin, since src/fronts calls it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -110,7 +110,7 @@
     /// Shows the others, as a table or as they come.
     fn peers(&self, json: bool) -> ExitCode {
         let shown = self.answer("peers").map(|answer| answer.lines().next().unwrap_or_default().to_owned());
-        let table = shown.as_deref().map(miniserde::json::from_str::<foxhold::peers::Shown>);
+        let table = shown.as_deref().map(miniserde::json::from_str::<foxhold::peers::Status>);
         match table {
             Ok(Ok(shown)) if !json => {
                 print!("{shown}");
--- a/src/peers/actor.rs
+++ b/src/peers/actor.rs
@@ -2,7 +2,7 @@
 
 use super::catch_up::{stage_name, CatchUp};
 use super::core_feed::CoreFeed;
-use super::frame::LARGEST;
+use super::frame::MAX_DATAGRAM_BYTES;
 use super::handle::Order;
 use super::members::Members;
 use super::membership::Membership;
@@ -79,7 +79,7 @@
         };
         let stored = Kind::ALL.into_iter().flat_map(|kind| actor.replication.state.of(kind));
         let stored: Vec<News> =
-            stored.map(|(key, word)| News { key: key.clone(), word: word.clone() }).collect();
+            stored.map(|(key, entry)| News { key: key.clone(), word: entry.clone() }).collect();
         stored.into_iter().for_each(|update| actor.accept(update));
         actor
     }
@@ -88,12 +88,12 @@
         Now { steady: self.clock.now(), unix: self.clock.unix() }
     }
 
-    /// Runs until the last handle is dropped, or until it is told to leave.
+    /// Runs until the last handle is dropped, or until the command to leave.
     pub async fn run(mut self) {
         self.catch_up.begin(&self.core, self.clock.unix()).await;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut buffer = vec![0; LARGEST + 1];
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
         loop {
             let deadline = self.membership.next_deadline();
             let expired = tokio::time::sleep_until(deadline.unwrap_or_else(Instant::now));
@@ -138,8 +138,8 @@
     }
 
     async fn leave(mut self, done: oneshot::Sender<()>) {
-        let due = self.membership.members.leave();
-        self.apply_membership(due);
+        let output = self.membership.members.leave();
+        self.apply_membership(output);
         self.persistence.write(&self.replication.state, Instant::now(), self.clock.unix());
         self.persistence.close().await;
         let _ = done.send(()); // who asked may have gone
@@ -154,16 +154,16 @@
     /// Applies an event of the discovery source and spreads what changed by it.
     fn apply_notice(&mut self, notice: &Notice) {
         let now = self.now();
-        for (key, word) in source::apply(&mut self.replication.state, notice, now) {
+        for (key, entry) in source::apply(&mut self.replication.state, notice, now) {
             // The core has it from the source itself, except for how long a purge is kept here.
             if key.kind() == Kind::Purges {
-                self.core.push(News { key: key.clone(), word: word.clone() });
+                self.core.push(News { key: key.clone(), word: entry.clone() });
             }
             self.persistence.mark(&key);
             if let Key::Listed(name) = &key {
                 self.core.recheck_drain(name, &self.replication.state);
             }
-            self.replication.told(Some((key, word)));
+            self.replication.told(Some((key, entry)));
         }
     }
 
@@ -195,8 +195,8 @@
     ) {
         let _ = reply.send(change.as_ref().map(Option::is_some).map_err(|cause| *cause));
         let change = change.ok().flatten();
-        if let Some((key, word)) = &change {
-            self.accept(News { key: key.clone(), word: word.clone() });
+        if let Some((key, entry)) = &change {
+            self.accept(News { key: key.clone(), word: entry.clone() });
         }
         self.replication.told(change);
         self.tick_replication(self.now());
--- a/src/peers/door.rs
+++ b/src/peers/admin.rs
@@ -1,25 +1,26 @@
-//! What operators ask of the replicated state at the door, a line each.
+//! Operators' commands on the replicated state, for the admin endpoint: one line each.
 //!
-//! | call | answer |
+//! | command | answer |
 //! | --- | --- |
-//! | `peers` | what is known of the others, as one line of JSON, then `END` |
+//! | `peers` | the status of this director and its peers, as one line of JSON, then `END` |
 //! | `state KIND` | all entries of `purges`, `drains` or `members`, a line each, then `END` |
-//! | `drain NAME`, `undrain NAME` | `YES`, `YES no news` where that was so already, or `NO` and why |
+//! | `drain NAME`, `undrain NAME` | `YES`, `YES no news` if nothing changed, or `NO` and the reason |
 //! | `purge object NAME`, `purge group NUMBER` | the same: no director serves copies older than now |
 
 use super::{Order, Peers};
 use crate::replica::state::{Refused, LONGEST_NAME};
 use crate::replica::word::{Key, Kind};
 
+/// The answer once the actor has ended.
 const ENDED: &str = "NO the talk among directors has ended\n";
 
-/// The answer to a call; none: it is no call of these.
-pub async fn answer(peers: &Peers, call: &str) -> Option<String> {
-    let words: Vec<&str> = call.split_ascii_whitespace().collect();
-    let told = match words[..] {
+/// Executes a command and returns its answer; none: it is not a command of this module.
+pub async fn answer(peers: &Peers, command: &str) -> Option<String> {
+    let arguments: Vec<&str> = command.split_ascii_whitespace().collect();
+    let outcome = match arguments[..] {
         ["peers"] => {
-            let shown = peers.ask(Order::Show).await;
-            return Some(shown.map_or(ENDED.into(), |json| format!("{json}\nEND\n")));
+            let status = peers.ask(Order::Show).await;
+            return Some(status.map_or(ENDED.into(), |json| format!("{json}\nEND\n")));
         }
         ["state", kind] => {
             let Some(kind) = Kind::ALL.into_iter().find(|k| k.name() == kind) else {
@@ -29,11 +30,11 @@
             let text = |lines: Vec<String>| lines.iter().map(|line| format!("{line}\n")).collect::<String>();
             return Some(lines.map_or(ENDED.into(), |lines| format!("{}END\n", text(lines))));
         }
-        [word @ ("drain" | "undrain"), name] => {
+        [verb @ ("drain" | "undrain"), name] => {
             if name.len() > LONGEST_NAME {
                 return Some("NO the name is too long\n".into());
             }
-            peers.ask(|reply| Order::Drain(name.into(), word == "drain", reply)).await
+            peers.ask(|reply| Order::Drain(name.into(), verb == "drain", reply)).await
         }
         ["purge", "object", name] => peers.ask(|reply| Order::Purge(Key::Object(name.into()), reply)).await,
         ["purge", "group", number] => {
@@ -42,7 +43,7 @@
         }
         _ => return None,
     };
-    Some(match told {
+    Some(match outcome {
         Some(Ok(true)) => "YES\n".into(),
         Some(Ok(false)) => "YES no news\n".into(),
         Some(Err(Refused::Full)) => "NO there is no room for it: peers.entries is too small\n".into(),
@@ -51,7 +52,7 @@
     })
 }
 
-/// How far the director has come, in words for `check`.
+/// The stage of catching up, for the answer to `check`.
 pub async fn stage(peers: &Peers) -> &'static str {
     peers.ask(Order::Stage).await.unwrap_or("the talk among directors has ended")
 }
--- a/src/peers/core_feed.rs
+++ b/src/peers/core_feed.rs
@@ -27,7 +27,7 @@
     /// Takes an update of the replicated state.
     pub(super) fn accept(&mut self, update: News, state: &State) {
         match (&update.key, &update.word) {
-            (Key::Drain(name), Word::Drain(words)) => self.drains.changed(name, words.drains()),
+            (Key::Drain(name), Word::Drain(drain)) => self.drains.changed(name, drain.drains()),
             (Key::Listed(name), Word::Listed(..)) => {
                 self.recheck_drain(name, state);
                 self.updates.push_back(update);
@@ -41,7 +41,8 @@
         self.updates.push_back(update);
     }
 
-    /// Delivers a server's drain anew if it is in force: the core forgets it when the process there changes.
+    /// Delivers a server's drain anew if it is in force: the core forgets it when another process runs under
+    /// the server's name.
     pub(super) fn recheck_drain(&mut self, name: &str, state: &State) {
         if wanted_drain(state, name) == Some(true) {
             self.drains.schedule(name);
--- a/src/peers/drain_feed.rs
+++ b/src/peers/drain_feed.rs
@@ -22,7 +22,7 @@
     due: BTreeMap<String, Instant>,
     /// Drains sent that the core has not replied to.
     unanswered: Vec<(String, oneshot::Receiver<bool>)>,
-    /// Servers that the core was told to drain.
+    /// Servers whose drain the core was sent.
     in_core: BTreeSet<String>,
 }
 
@@ -77,21 +77,21 @@
             }
             self.in_core.remove(&name);
             let key = Key::Listed(name);
-            listings.extend(state.get(&key).cloned().map(|word| News { key, word }));
+            listings.extend(state.get(&key).cloned().map(|entry| News { key, word: entry }));
         }
         listings
     }
 }
 
 /// Whether operators want the process that is listed under this name to drain; none: what they said is about
-/// another process, or there is no telling yet.
+/// another process, or its listing is not known yet.
 pub(super) fn wanted_drain(state: &State, name: &str) -> Option<bool> {
-    let Some(Word::Drain(words)) = state.get(&Key::Drain(name.into())) else { return None };
+    let Some(Word::Drain(drain)) = state.get(&Key::Drain(name.into())) else { return None };
     match state.get(&Key::Listed(name.into())) {
         Some(Word::Listed(_, place)) if place.state == STATE_GONE => None,
-        Some(Word::Listed(_, place)) if place.since > words.since => Some(false),
+        Some(Word::Listed(_, place)) if place.since > drain.since => Some(false),
         // Sent once the server is listed. Without a replicated list the core has it from its own source.
         None if state.count(Kind::Members) > 0 => None,
-        _ => Some(words.drains()),
+        _ => Some(drain.drains()),
     }
 }
--- a/src/peers/frame.rs
+++ b/src/peers/frame.rs
@@ -1,12 +1,12 @@
-//! Messages between directors as datagrams: sealed with a key, so that what is foreign, damaged, of another
-//! fleet or come a second time changes nothing and is counted.
+//! The datagrams of messages among directors. Each is authenticated with a shared key, so that one that is
+//! forged, damaged, of another fleet or received a second time is rejected, with a [`Rejection`].
 //!
-//! | bytes | what |
+//! | bytes | field |
 //! | --- | --- |
-//! | 1 | version of the form, [`VERSION`] |
+//! | 1 | version of the format, [`VERSION`] |
 //! | 4 | the fleet, by a hash of its name |
-//! | some | sender, run, number and message, by postcard |
-//! | 16 | HMAC-SHA256 of all before, the first half |
+//! | variable | the [`Message`], encoded by postcard |
+//! | 16 | HMAC-SHA256 of all before, truncated to its first half |
 
 use super::members::Member;
 use crate::replica::digest::hash;
@@ -15,123 +15,126 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-/// The version that this program speaks.
+/// The version of the format that this program sends and accepts.
 pub const VERSION: u8 = 1;
-/// The largest datagram that is sent or taken, in bytes.
-pub const LARGEST: usize = 8 * 1024;
+/// The largest datagram that is sent or accepted, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// The shortest key, in bytes.
-pub const SHORTEST_KEY: usize = 16;
-const HEAD: usize = 5;
-const SEAL: usize = 16;
+pub const MIN_KEY_BYTES: usize = 16;
+/// Bytes of the version and the fleet.
+const HEADER_BYTES: usize = 5;
+/// Bytes of the truncated HMAC.
+const TAG_BYTES: usize = 16;
 
-/// What is said: of the members, or of the state.
+/// The content of a message, by protocol.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
-    /// A message of the membership protocol, as its library writes it.
+    /// A message of the membership protocol, as its library encodes it.
     Swim(Vec<u8>),
-    /// A message of the replicated state.
+    /// A message of the replication protocol.
     Say(Say),
 }
 
-/// A message with who sent it.
+/// A message with its sender and its number, by which a second copy is recognised.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
-    /// Who sent it.
+    /// The sender.
     pub from: Member,
-    /// Its run: drawn anew at each start of the process.
+    /// The sender's run: a random number, drawn at each start of the process.
     pub run: u64,
-    /// Its number within that run, from 1.
+    /// The number of the message within that run, from 1.
     pub number: u64,
-    /// What it says.
+    /// The content.
     pub body: Body,
 }
 
-/// Why a datagram was turned down.
+/// Why a datagram was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Foreign {
-    /// Too short or too long to be one.
+pub enum Rejection {
+    /// Too short or too long.
     Size,
-    /// Of a version that is not spoken here.
+    /// Of a version that is not known here.
     Version,
     /// Of another fleet.
     Fleet,
-    /// Sealed with no key that is known here, or damaged.
+    /// Authenticated with no key that is known here, or damaged.
     Seal,
-    /// Sealed well, and not of this form.
+    /// Authentic, but it can't be decoded.
     Form,
-    /// Come a second time, or of a run that has ended.
+    /// Received a second time, or of a run that has ended.
     Replayed,
 }
 
-impl Foreign {
-    /// Its name in figures.
+impl Rejection {
+    /// Its name in the status.
     pub fn name(self) -> &'static str {
         match self {
-            Foreign::Size => "size",
-            Foreign::Version => "version",
-            Foreign::Fleet => "fleet",
-            Foreign::Seal => "seal",
-            Foreign::Form => "form",
-            Foreign::Replayed => "replayed",
+            Rejection::Size => "size",
+            Rejection::Version => "version",
+            Rejection::Fleet => "fleet",
+            Rejection::Seal => "seal",
+            Rejection::Form => "form",
+            Rejection::Replayed => "replayed",
         }
     }
 }
 
-/// Seals and opens messages of one fleet.
+/// Encodes and authenticates the messages of one fleet, and verifies and decodes them.
 pub struct Seal {
     fleet: [u8; 4],
     keys: Vec<Hmac<Sha256>>,
 }
 
 impl Seal {
-    /// By the fleet's name and its keys: the first seals, all open. None without a key of [`SHORTEST_KEY`]
-    /// bytes.
+    /// By the fleet's name and its keys: the first authenticates, each is accepted. None without a key, or if
+    /// one is shorter than [`MIN_KEY_BYTES`].
     pub fn new(fleet: &str, keys: &[Vec<u8>]) -> Option<Seal> {
-        let good = !keys.is_empty() && keys.iter().all(|k| k.len() >= SHORTEST_KEY);
+        let valid = !keys.is_empty() && keys.iter().all(|k| k.len() >= MIN_KEY_BYTES);
         let keys = keys.iter().filter_map(|k| Hmac::<Sha256>::new_from_slice(k).ok()).collect();
-        good.then(|| Seal { fleet: (hash(fleet.as_bytes()) as u32).to_be_bytes(), keys })
+        valid.then(|| Seal { fleet: (hash(fleet.as_bytes()) as u32).to_be_bytes(), keys })
     }
 
-    /// The datagram of a message. None: it is larger than [`LARGEST`].
+    /// The datagram of a message. None: it would be larger than [`MAX_DATAGRAM_BYTES`].
     pub fn seal(&self, message: &Message) -> Option<Vec<u8>> {
         let mut datagram = vec![VERSION];
         datagram.extend(self.fleet);
         let mut datagram = postcard::to_extend(message, datagram).ok()?;
         let mut mac = self.keys.first()?.clone();
         mac.update(&datagram);
-        datagram.extend(&mac.finalize().into_bytes()[..SEAL]);
-        (datagram.len() <= LARGEST).then_some(datagram)
+        datagram.extend(&mac.finalize().into_bytes()[..TAG_BYTES]);
+        (datagram.len() <= MAX_DATAGRAM_BYTES).then_some(datagram)
     }
 
-    /// The message of a datagram.
-    pub fn open(&self, datagram: &[u8]) -> Result<Message, Foreign> {
-        if datagram.len() < HEAD + SEAL || datagram.len() > LARGEST {
-            return Err(Foreign::Size);
+    /// The message of a datagram, or why it is rejected.
+    pub fn open(&self, datagram: &[u8]) -> Result<Message, Rejection> {
+        if datagram.len() < HEADER_BYTES + TAG_BYTES || datagram.len() > MAX_DATAGRAM_BYTES {
+            return Err(Rejection::Size);
         }
-        let (sealed, seal) = datagram.split_at(datagram.len() - SEAL);
-        if sealed[0] != VERSION {
-            return Err(Foreign::Version);
+        let (content, tag) = datagram.split_at(datagram.len() - TAG_BYTES);
+        if content[0] != VERSION {
+            return Err(Rejection::Version);
         }
-        if sealed[1..HEAD] != self.fleet {
-            return Err(Foreign::Fleet);
+        if content[1..HEADER_BYTES] != self.fleet {
+            return Err(Rejection::Fleet);
         }
-        let by = |key: &&Hmac<Sha256>| {
+        let verifies = |key: &&Hmac<Sha256>| {
             let mut mac = (*key).clone();
-            mac.update(sealed);
-            mac.verify_truncated_left(seal).is_ok()
+            mac.update(content);
+            mac.verify_truncated_left(tag).is_ok()
         };
-        self.keys.iter().find(by).ok_or(Foreign::Seal)?;
-        let (message, rest) = postcard::take_from_bytes(&sealed[HEAD..]).map_err(|_| Foreign::Form)?;
+        self.keys.iter().find(verifies).ok_or(Rejection::Seal)?;
+        let (message, rest) =
+            postcard::take_from_bytes(&content[HEADER_BYTES..]).map_err(|_| Rejection::Form)?;
         if rest.is_empty() {
             Ok(message)
         } else {
-            Err(Foreign::Form)
+            Err(Rejection::Form)
         }
     }
 }
 
-/// The keys of a key file: one a line in base64url, the first for sealing; empty lines and those that begin
-/// with `#` are passed over. The error names the line.
+/// The keys of a key file: one a line in base64url, the first for sending; empty lines and those that begin
+/// with `#` are ignored. The error names the line.
 pub fn parse_keys(text: &str) -> Result<Vec<Vec<u8>>, String> {
     use base64::Engine;
     let engine = base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -143,8 +146,8 @@
         let key = engine
             .decode(line.trim_end_matches('='))
             .map_err(|_| format!("line {}: not base64url", n + 1))?;
-        if key.len() < SHORTEST_KEY {
-            return Err(format!("line {}: a key of {} bytes, {SHORTEST_KEY} at least", n + 1, key.len()));
+        if key.len() < MIN_KEY_BYTES {
+            return Err(format!("line {}: a key of {} bytes, {MIN_KEY_BYTES} at least", n + 1, key.len()));
         }
         keys.push(key);
     }
--- a/src/peers/gossip.rs
+++ b/src/peers/gossip.rs
@@ -2,7 +2,7 @@
 
 use super::actor::Actor;
 use super::frame::Body;
-use super::members::{Due, Member};
+use super::members::{Member, ProtocolOutput};
 use super::LOG_TARGET;
 use crate::replica::state::Now;
 use crate::replica::talk::Say;
@@ -19,8 +19,8 @@
         }
         match message.body {
             Body::Swim(bytes) => {
-                let due = self.membership.members.heard(&bytes);
-                self.apply_membership(due);
+                let output = self.membership.members.handle_message(&bytes);
+                self.apply_membership(output);
             }
             Body::Say(body) => self.handle_replication(&message.from, body, now),
         }
@@ -59,7 +59,7 @@
     /// Sends messages, and takes over the entries that changed since the last time.
     fn send_replication(&mut self, messages: Vec<(SocketAddr, Say)>) {
         for (to, message) in messages {
-            self.transport.send(self.membership.members.me(), to, Body::Say(message));
+            self.transport.send(self.membership.members.local(), to, Body::Say(message));
         }
         let updates = self.replication.news();
         if !updates.is_empty() {
@@ -80,29 +80,29 @@
 
     fn announce(&mut self, addresses: Vec<SocketAddr>) {
         for address in addresses {
-            let due = self.membership.members.announce(address);
-            self.apply_membership(due);
+            let output = self.membership.members.announce(address);
+            self.apply_membership(output);
         }
     }
 
     /// Lets the membership protocol handle its timers that have expired.
     pub(super) fn expire_timers(&mut self) {
         let now = Instant::now();
-        while let Some(due) = self.membership.expire(now) {
-            self.apply_membership(due);
+        while let Some(output) = self.membership.expire(now) {
+            self.apply_membership(output);
         }
     }
 
     /// Does what the membership protocol asks for.
-    pub(super) fn apply_membership(&mut self, due: Due) {
-        for (to, bytes) in due.send {
-            self.transport.send(self.membership.members.me(), to, Body::Swim(bytes));
+    pub(super) fn apply_membership(&mut self, output: ProtocolOutput) {
+        for (to, bytes) in output.messages {
+            self.transport.send(self.membership.members.local(), to, Body::Swim(bytes));
         }
-        self.membership.schedule(due.timers);
-        if due.changes.is_empty() {
+        self.membership.schedule(output.timers);
+        if output.changes.is_empty() {
             return;
         }
-        for change in due.changes {
+        for change in output.changes {
             tracing::info!(target: LOG_TARGET, "peers: {change}");
         }
         let peers = self.membership.refresh();
--- a/src/peers/membership.rs
+++ b/src/peers/membership.rs
@@ -2,7 +2,7 @@
 
 use super::draw;
 use super::duplicates::DuplicateNames;
-use super::members::{Due, Member, Members};
+use super::members::{Member, Members, ProtocolOutput};
 use super::timers::Timers;
 use crate::api::Micros;
 use crate::estimate::hash::unit;
@@ -45,7 +45,7 @@
     /// Begins with this director alone.
     pub(super) fn new(members: Members, seeds: Vec<SocketAddr>, now: Instant) -> Membership {
         Membership {
-            own_address: members.me().address,
+            own_address: members.local().address,
             members,
             duplicates: DuplicateNames::default(),
             timers: Timers::new(),
@@ -72,14 +72,14 @@
     }
 
     /// Handles one timer that has expired; none: there is none.
-    pub(super) fn expire(&mut self, now: Instant) -> Option<Due> {
+    pub(super) fn expire(&mut self, now: Instant) -> Option<ProtocolOutput> {
         let timer = self.timers.pop_expired(now)?;
-        Some(self.members.rang(timer))
+        Some(self.members.handle_timer(timer))
     }
 
     /// Takes over a change of the members, and returns the addresses of the peers.
     pub(super) fn refresh(&mut self) -> Vec<SocketAddr> {
-        self.known = self.members.others().into_iter().collect();
+        self.known = self.members.peers().into_iter().collect();
         let peers: Vec<SocketAddr> = self.known.iter().map(|m| m.address).collect();
         let dead: BTreeSet<SocketAddr> = self.members.dead().into_iter().map(|m| m.address).collect();
         self.last_received.retain(|address, _| peers.contains(address) || dead.contains(address));
@@ -88,7 +88,7 @@
 
     /// Notes a message of this sender. A sender that is not known in this incarnation has restarted, or this
     /// director has: it is to be greeted at once instead of after a failure detection.
-    pub(super) fn received(&mut self, from: &Member, now: Micros) -> Option<Due> {
+    pub(super) fn received(&mut self, from: &Member, now: Micros) -> Option<ProtocolOutput> {
         self.last_received.insert(from.address, now);
         let at = Instant::now();
         if at < self.next_greeting || self.known.contains(from) {
@@ -109,7 +109,7 @@
             return None;
         }
         self.next_seeds = now + SEED_INTERVAL.mul_f64(0.5 + unit(draw()));
-        let members: BTreeSet<SocketAddr> = self.members.others().iter().map(|m| m.address).collect();
+        let members: BTreeSet<SocketAddr> = self.members.peers().iter().map(|m| m.address).collect();
         let missing = |seed: &&SocketAddr| **seed != self.own_address && !members.contains(seed);
         Some(self.seeds.iter().filter(missing).copied().collect())
     }
@@ -128,6 +128,6 @@
 
     /// Looks for names that two or more directors have.
     pub(super) fn check_names(&mut self, now: Instant) {
-        self.duplicates.update(self.members.twins(), now);
+        self.duplicates.update(self.members.duplicate_names(), now);
     }
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -19,12 +19,12 @@
 //! | `catch_up` | the stage of catching up, and caution until then |
 //! | `persistence`, [`store`] | when entries are written, and the writer |
 //! | `source` | events of the local discovery source |
-//! | `status`, `report`, [`door`] | operators' status, metrics and commands |
+//! | `status`, `report`, [`admin`] | operators' status, metrics and commands |
 
 mod actor;
+pub mod admin;
 mod catch_up;
 mod core_feed;
-pub mod door;
 mod drain_feed;
 mod duplicates;
 pub mod frame;
@@ -42,9 +42,11 @@
 mod transport;
 
 pub use actor::Actor;
+/// The path by which the admin endpoint still calls [`admin`].
+pub use admin as door;
 pub use handle::{Order, Peers};
 pub use startup::open;
-pub use status::{Shown, ShownPeer};
+pub use status::{PeerStatus, Status};
 
 use std::hash::{BuildHasher, Hasher, RandomState};
 
--- a/src/peers/persistence.rs
+++ b/src/peers/persistence.rs
@@ -48,14 +48,14 @@
     pub(super) fn write(&mut self, state: &State, now: Instant, unix: Micros) {
         let Some(store) = &self.store else { return };
         self.next_write = now + WRITE_INTERVAL;
-        let whole = store.told.lacking.load(Ordering::Relaxed);
+        let whole = store.status.incomplete.load(Ordering::Relaxed);
         if self.dirty.is_empty() && !whole && now - self.last_write < TIMESTAMP_INTERVAL {
             return;
         }
         let keys = std::mem::take(&mut self.dirty);
         let batch = if whole {
             let all = Kind::ALL.into_iter().flat_map(|kind| state.of(kind));
-            all.map(|(key, word)| (key.clone(), Some(word.clone()))).collect()
+            all.map(|(key, entry)| (key.clone(), Some(entry.clone()))).collect()
         } else {
             keys.into_iter().map(|key| (key.clone(), state.get(&key).cloned())).collect()
         };
@@ -68,13 +68,13 @@
     /// Waits, for a bounded time, until all that was handed over is written.
     pub(super) async fn close(self) {
         if let Some(store) = self.store {
-            store.finish(CLOSE_TIMEOUT).await;
+            store.close(CLOSE_TIMEOUT).await;
         }
     }
 
     /// Batches written and batches that failed, since the start.
     pub(super) fn counts(&self) -> (u64, u64) {
         let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        self.store.as_ref().map_or((0, 0), |store| (read(&store.told.written), read(&store.told.failed)))
+        self.store.as_ref().map_or((0, 0), |store| (read(&store.status.written), read(&store.status.failed)))
     }
 }
--- a/src/peers/report.rs
+++ b/src/peers/report.rs
@@ -3,7 +3,7 @@
 use super::actor::Actor;
 use super::catch_up::stage_name;
 use super::members::Member;
-use super::status::{Shown, ShownPeer};
+use super::status::{PeerStatus, Status};
 use crate::api::{MemberState, Micros};
 use crate::replica::state::Now;
 use crate::replica::word::{Key, Kind, Word};
@@ -12,15 +12,15 @@
 impl Actor {
     /// All entries of a kind, a line each.
     pub(super) fn list(&self, kind: Kind) -> Vec<String> {
-        self.replication.state.of(kind).into_iter().map(|(key, word)| line(key, word)).collect()
+        self.replication.state.of(kind).into_iter().map(|(key, entry)| line(key, entry)).collect()
     }
 
     /// The status, as JSON.
     pub(super) fn status(&self, now: Now) -> String {
         let state = &self.replication.state;
-        let own = self.membership.members.me();
+        let own = self.membership.members.local();
         let dead = self.membership.members.dead().into_iter();
-        miniserde::json::to_string(&Shown {
+        miniserde::json::to_string(&Status {
             name: own.name.clone(),
             address: own.address.to_string(),
             incarnation: own.incarnation,
@@ -28,22 +28,22 @@
             entries: Kind::ALL.iter().map(|k| (k.name().to_owned(), state.count(*k) as u64)).collect(),
             bytes: state.bytes() as u64,
             peers: self.peers(now),
-            gone: dead.map(|m| format!("{} at {}", m.name, m.address)).collect(),
-            twins: self.membership.duplicates.lines(),
+            dead: dead.map(|m| format!("{} at {}", m.name, m.address)).collect(),
+            duplicate_names: self.membership.duplicates.lines(),
             counts: self.counts(),
-            turned_down: self.rejected(),
+            rejected: self.rejected(),
         })
     }
 
-    fn peers(&self, now: Now) -> Vec<ShownPeer> {
+    fn peers(&self, now: Now) -> Vec<PeerStatus> {
         let ms_since = |at: Micros| now.steady.saturating_sub(at) / 1_000;
-        let peer = |member: Member| ShownPeer {
-            heard_ms: self.membership.last_received(&member).map(ms_since),
-            alike_ms: self.replication.alike(&member.address).map(ms_since),
+        let peer = |member: Member| PeerStatus {
+            last_received_ms: self.membership.last_received(&member).map(ms_since),
+            last_in_sync_ms: self.replication.alike(&member.address).map(ms_since),
             name: member.name,
             address: member.address.to_string(),
         };
-        let mut peers: Vec<ShownPeer> = self.membership.members.others().into_iter().map(peer).collect();
+        let mut peers: Vec<PeerStatus> = self.membership.members.peers().into_iter().map(peer).collect();
         peers.sort_by(|a, b| a.name.cmp(&b.name));
         peers
     }
@@ -75,18 +75,18 @@
         let datagrams = datagrams.map(|(cause, n)| (cause.name().to_owned(), *n));
         let entries = self.replication.counts().refused.iter();
         let entries = entries.map(|(cause, n)| (format!("entry_{cause:?}").to_lowercase(), *n));
-        let membership = [("members".to_owned(), self.membership.members.turned_down)];
+        let membership = [("members".to_owned(), self.membership.members.rejected)];
         datagrams.chain(entries).chain(membership).collect()
     }
 }
 
-fn line(key: &Key, word: &Word) -> String {
-    match word {
+fn line(key: &Key, entry: &Word) -> String {
+    match entry {
         Word::Purged(at) => format!("{key} purged at {}.{:06}", at / 1_000_000, at % 1_000_000),
-        Word::Drain(words) => {
-            let verb = if words.drains() { "drains" } else { "does not drain" };
-            let count = words.told.len() + words.undone.len();
-            format!("{key} {verb}, process of {}, {count} words", words.since)
+        Word::Drain(drain) => {
+            let verb = if drain.drains() { "drains" } else { "does not drain" };
+            let count = drain.told.len() + drain.undone.len();
+            format!("{key} {verb}, process of {}, {count} words", drain.since)
         }
         Word::Listed(rev, place) => match place.listing("").state {
             MemberState::Running => format!("{key} in service at {}, event {rev}", place.address),
--- a/src/peers/startup.rs
+++ b/src/peers/startup.rs
@@ -12,7 +12,7 @@
 use crate::operator::PeersSection;
 use crate::replica::state::{Bounds, Now, State};
 use crate::replica::talk::Talk;
-use crate::replica::word::Run;
+use crate::replica::word::{Key, Run, Word};
 use crate::sources::board::Notice;
 use std::path::Path;
 use tokio::net::UdpSocket;
@@ -68,18 +68,19 @@
 
 /// Loads the stored entries into the state; returns the store and the incarnation to start with.
 fn restore(folder: &Path, state: &mut State, now: Now) -> Result<(Store, u64), String> {
-    let (store, stored) = store::begin(folder, now.unix)?;
-    if let Some(put_aside) = &stored.put_aside {
+    let (store, stored) = store::open(folder, now.unix)?;
+    if let Some(reason) = &stored.set_aside {
         tracing::warn!(
             target: LOG_TARGET,
-            "peers: the state on the disk is broken: {put_aside}; it is fetched from the others"
+            "peers: the state on the disk is broken: {reason}; it is fetched from the others"
         );
     }
     let entries = stored.entries.len();
-    let taken = stored.entries.iter().filter(|(key, word)| state.merge(key, word, now).is_ok()).count();
+    let merged = |(key, entry): &&(Key, Word)| state.merge(key, entry, now).is_ok();
+    let taken = stored.entries.iter().filter(merged).count();
     // A clock that was set back makes the age unknown, which counts as too old.
-    let age = now.unix.checked_sub(stored.saved);
-    if stored.saved > 0 && age.is_none_or(|age| age > state.bounds().horizon) {
+    let age = now.unix.checked_sub(stored.saved_at);
+    if stored.saved_at > 0 && age.is_none_or(|age| age > state.bounds().horizon) {
         let forgotten = state.away();
         tracing::info!(
             target: LOG_TARGET,
--- a/src/peers/store.rs
+++ b/src/peers/store.rs
@@ -1,9 +1,9 @@
-//! What lasts: the state on a disk, in an embedded store (`redb`), written by a thread of its own.
+//! The replicated state on a disk, in an embedded database (`redb`) that a thread of its own writes to.
 //!
-//! Serving never waits for the disk. Changes are handed over in batches; while the thread is busy they
+//! Requests never wait for the disk. Changes are handed over in batches; while the writer is busy they
 //! gather, by key. Each batch is one transaction, so a kill at any moment leaves the state of some earlier
-//! moment. What can't be read is put aside under another name, and the state is fetched from the others. A
-//! write that fails is counted, and all is written anew once writing works again.
+//! moment. A file that can't be read is renamed, and the state is fetched from peers. A write that fails is
+//! counted, and all entries are written again once writing works.
 
 use crate::api::Micros;
 use crate::replica::word::{bytes, Key, Word};
@@ -16,61 +16,66 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-/// The file within the folder.
-const FILE: &str = "foxhold-state.redb";
-/// The form of what is written.
-const FORM: u64 = 1;
+/// The name of the file within the folder.
+const FILE_NAME: &str = "foxhold-state.redb";
+/// The version of the format of the file.
+const FORMAT_VERSION: u64 = 1;
+/// Numbers by name: the version of the format, the time of the last write, the incarnation.
 const META: TableDefinition<&str, u64> = TableDefinition::new("meta");
+/// Encoded entries by encoded key.
 const ENTRIES: TableDefinition<&[u8], &[u8]> = TableDefinition::new("entries");
-/// Batches that wait for the disk.
-const BATCHES: usize = 4;
-/// Pages kept in memory, in bytes.
-const CACHE: usize = 2 << 20;
-
-/// What a disk held.
+/// Batches that may wait for the writer.
+const QUEUE_CAPACITY: usize = 4;
+/// How often a full queue is tried again at the end.
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// The database's cache of pages, in bytes.
+const CACHE_BYTES: usize = 2 << 20;
+
+/// What the file held at the start.
 #[derive(Debug, Default)]
-pub struct Found {
+pub struct StoredState {
     /// The entries.
     pub entries: Vec<(Key, Word)>,
     /// When it was last written, in Unix microseconds; 0: never.
-    pub saved: Micros,
-    /// The incarnation of the last run.
+    pub saved_at: Micros,
+    /// The incarnation for this run: later than that of the last one.
     pub incarnation: u64,
-    /// Why what was there could not be used, and where it is now.
-    pub put_aside: Option<String>,
+    /// Why the file that was there could not be read, and its new name.
+    pub set_aside: Option<String>,
 }
 
-/// Entries as they are now; none: let go.
+/// Encoded keys and entries; none: the entry is removed.
 type Batch = Vec<(Vec<u8>, Option<Vec<u8>>)>;
 
-enum Order {
+/// A request to the writer.
+enum Request {
     Write { batch: Batch, unix: Micros, whole: bool },
     Stop(oneshot::Sender<()>),
 }
 
-/// What the writer tells.
+/// What the writer reports, to be read at any time.
 #[derive(Debug, Default)]
-pub struct Told {
+pub struct WriterStatus {
     /// Batches written.
     pub written: AtomicU64,
     /// Batches that could not be written.
     pub failed: AtomicU64,
-    /// What is on the disk lacks something: it is to be written whole.
-    pub lacking: AtomicBool,
+    /// Whether the file lacks entries since a write failed: all are to be written.
+    pub incomplete: AtomicBool,
 }
 
 /// The handle of the writer.
 pub struct Store {
-    orders: SyncSender<Order>,
-    /// What the writer tells.
-    pub told: Arc<Told>,
+    requests: SyncSender<Request>,
+    /// What the writer reports.
+    pub status: Arc<WriterStatus>,
 }
 
-fn open(path: &Path) -> Result<Database, String> {
-    // Its library may panic on pages that are not its own; that is one more way in which a file is broken.
+fn open_database(path: &Path) -> Result<Database, String> {
+    // The library may panic on pages that it did not write: one more way in which a file is broken.
     let opened = std::panic::catch_unwind(|| {
         let mut builder = Database::builder();
-        builder.set_cache_size(CACHE).create(path)
+        builder.set_cache_size(CACHE_BYTES).create(path)
     });
     match opened {
         Ok(Ok(database)) => Ok(database),
@@ -79,29 +84,32 @@
     }
 }
 
-fn read(database: &Database) -> Result<Found, String> {
+fn read(database: &Database) -> Result<StoredState, String> {
     let text = |e: redb::Error| e.to_string();
     let reading = database.begin_read().map_err(|e| text(e.into()))?;
     let meta = match reading.open_table(META) {
         Ok(meta) => meta,
-        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(Found::default()),
+        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(StoredState::default()),
         Err(error) => return Err(text(error.into())),
     };
     let number = |name: &str| meta.get(name).map(|n| n.map_or(0, |n| n.value())).map_err(|e| text(e.into()));
     match number("form")? {
-        FORM => {}
-        other => return Err(format!("it is of form {other}, {FORM} is read here")),
+        FORMAT_VERSION => {}
+        other => return Err(format!("it is of form {other}, {FORMAT_VERSION} is read here")),
     }
-    let mut found =
-        Found { saved: number("saved")?, incarnation: number("incarnation")?, ..Found::default() };
+    let mut stored = StoredState {
+        saved_at: number("saved")?,
+        incarnation: number("incarnation")?,
+        ..StoredState::default()
+    };
     let entries = reading.open_table(ENTRIES).map_err(|e| text(e.into()))?;
     for entry in entries.iter().map_err(|e| text(e.into()))? {
-        let (key, word) = entry.map_err(|e| text(e.into()))?;
+        let (key, value) = entry.map_err(|e| text(e.into()))?;
         let key = postcard::from_bytes(key.value()).map_err(|e| format!("a key: {e}"))?;
-        let word = postcard::from_bytes(word.value()).map_err(|e| format!("an entry: {e}"))?;
-        found.entries.push((key, word));
+        let value = postcard::from_bytes(value.value()).map_err(|e| format!("an entry: {e}"))?;
+        stored.entries.push((key, value));
     }
-    Ok(found)
+    Ok(stored)
 }
 
 fn write(
@@ -117,13 +125,13 @@
     }
     {
         let mut meta = writing.open_table(META)?;
-        meta.insert("form", FORM)?;
+        meta.insert("form", FORMAT_VERSION)?;
         meta.insert("saved", unix)?;
         meta.insert("incarnation", incarnation)?;
         let mut entries = writing.open_table(ENTRIES)?;
-        for (key, word) in batch {
-            match word {
-                Some(word) => drop(entries.insert(key.as_slice(), word.as_slice())?),
+        for (key, entry) in batch {
+            match entry {
+                Some(entry) => drop(entries.insert(key.as_slice(), entry.as_slice())?),
                 None => drop(entries.remove(key.as_slice())?),
             }
         }
@@ -132,36 +140,37 @@
     Ok(())
 }
 
-/// Opens the state in a folder, puts aside what can't be read, and starts the writer. An error is one line.
-pub fn begin(folder: &Path, unix: Micros) -> Result<(Store, Found), String> {
-    let path = folder.join(FILE);
+/// Opens the file in a folder, renames one that can't be read, and starts the writer. An error is one line.
+pub fn open(folder: &Path, unix: Micros) -> Result<(Store, StoredState), String> {
+    let path = folder.join(FILE_NAME);
     let named = |e: String| format!("peers.folder: {}: {e}", path.display());
-    let opened = open(&path).and_then(|database| read(&database).map(|found| (database, found)));
-    let (database, found) = match opened {
+    let opened = open_database(&path).and_then(|database| read(&database).map(|stored| (database, stored)));
+    let (database, stored) = match opened {
         Ok(opened) => opened,
         Err(cause) => {
-            let aside = folder.join(format!("{FILE}.broken-{unix}"));
-            std::fs::rename(&path, &aside).map_err(|e| named(format!("{cause}; not put aside: {e}")))?;
-            let put_aside = Some(format!("{cause}; it is put aside as {}", aside.display()));
-            (open(&path).map_err(named)?, Found { put_aside, ..Found::default() })
+            let new_path = folder.join(format!("{FILE_NAME}.broken-{unix}"));
+            std::fs::rename(&path, &new_path).map_err(|e| named(format!("{cause}; not put aside: {e}")))?;
+            let set_aside = Some(format!("{cause}; it is put aside as {}", new_path.display()));
+            (open_database(&path).map_err(named)?, StoredState { set_aside, ..StoredState::default() })
         }
     };
-    let incarnation = found.incarnation.saturating_add(1).max(unix);
-    let (orders, inbox) = sync_channel(BATCHES);
-    let told = Arc::new(Told::default());
-    let writer = Writer { path, database: Some(database), incarnation, told: told.clone() };
+    let incarnation = stored.incarnation.saturating_add(1).max(unix);
+    let (requests, queue) = sync_channel(QUEUE_CAPACITY);
+    let status = Arc::new(WriterStatus::default());
+    let writer = Writer { path, database: Some(database), incarnation, status: status.clone() };
     std::thread::Builder::new()
         .name("foxhold-state".into())
-        .spawn(move || writer.run(&inbox))
+        .spawn(move || writer.run(&queue))
         .map_err(|e| format!("peers.folder: no thread to write: {e}"))?;
-    Ok((Store { orders, told }, Found { incarnation, ..found }))
+    Ok((Store { requests, status }, StoredState { incarnation, ..stored }))
 }
 
 impl Store {
-    /// Hands a batch over; `whole`: it is all that there is. Gives it back where the disk is behind.
+    /// Hands a batch to the writer; `whole`: it holds all entries. An error returns the keys of a batch for
+    /// which the queue has no room.
     pub fn write(&self, batch: Vec<(Key, Option<Word>)>, unix: Micros, whole: bool) -> Result<(), Vec<Key>> {
-        let written = batch.iter().map(|(key, word)| (bytes(key), word.as_ref().map(bytes))).collect();
-        match self.orders.try_send(Order::Write { batch: written, unix, whole }) {
+        let encoded = batch.iter().map(|(key, entry)| (bytes(key), entry.as_ref().map(bytes))).collect();
+        match self.requests.try_send(Request::Write { batch: encoded, unix, whole }) {
             Ok(()) => Ok(()),
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 Err(batch.into_iter().map(|(key, _)| key).collect())
@@ -169,36 +178,37 @@
         }
     }
 
-    /// Waits until all that was handed over is written, for so long at most.
-    pub async fn finish(self, most: Duration) {
-        let _ = timeout(most, self.stopped()).await; // the next start takes what there is
+    /// Waits until all batches are written and the file is closed, for a bounded time.
+    pub async fn close(self, limit: Duration) {
+        let _ = timeout(limit, self.stopped()).await; // the next start takes what there is
     }
 
     async fn stopped(self) {
         let (done, wait) = oneshot::channel();
-        let mut order = Order::Stop(done);
-        while let Err(TrySendError::Full(back)) = self.orders.try_send(order) {
-            order = back;
-            sleep(Duration::from_millis(5)).await;
+        let mut request = Request::Stop(done);
+        while let Err(TrySendError::Full(back)) = self.requests.try_send(request) {
+            request = back;
+            sleep(RETRY_INTERVAL).await;
         }
         let _ = wait.await;
     }
 }
 
+/// The thread's state.
 struct Writer {
     path: PathBuf,
-    /// None after a failure: its library wants it opened anew.
+    /// None after a failure: the library requires it to be opened again.
     database: Option<Database>,
     incarnation: u64,
-    told: Arc<Told>,
+    status: Arc<WriterStatus>,
 }
 
 impl Writer {
-    fn run(mut self, inbox: &Receiver<Order>) {
-        while let Ok(order) = inbox.recv() {
-            match order {
-                Order::Write { batch, unix, whole } => self.write(&batch, unix, whole),
-                Order::Stop(done) => {
+    fn run(mut self, queue: &Receiver<Request>) {
+        while let Ok(request) = queue.recv() {
+            match request {
+                Request::Write { batch, unix, whole } => self.write(&batch, unix, whole),
+                Request::Stop(done) => {
                     drop(self.database.take());
                     let _ = done.send(()); // nobody may wait any more
                     return;
@@ -208,7 +218,7 @@
     }
 
     fn write(&mut self, batch: &Batch, unix: Micros, whole: bool) {
-        let database = self.database.take().map_or_else(|| open(&self.path), Ok);
+        let database = self.database.take().map_or_else(|| open_database(&self.path), Ok);
         let outcome = database.and_then(|database| {
             write(&database, batch, unix, self.incarnation, whole).map_err(|e| e.to_string())?;
             Ok(database)
@@ -216,16 +226,16 @@
         match outcome {
             Ok(database) => {
                 self.database = Some(database);
-                self.told.written.fetch_add(1, Ordering::Relaxed);
+                self.status.written.fetch_add(1, Ordering::Relaxed);
                 if whole {
-                    self.told.lacking.store(false, Ordering::Relaxed);
+                    self.status.incomplete.store(false, Ordering::Relaxed);
                 }
             }
             Err(error) => {
-                if self.told.failed.fetch_add(1, Ordering::Relaxed) == 0 {
+                if self.status.failed.fetch_add(1, Ordering::Relaxed) == 0 {
                     tracing::warn!("peers: the state can't be written ({error}); serving goes on without");
                 }
-                self.told.lacking.store(true, Ordering::Relaxed);
+                self.status.incomplete.store(true, Ordering::Relaxed);
             }
         }
     }
--- a/src/peers/transport.rs
+++ b/src/peers/transport.rs
@@ -1,6 +1,6 @@
 //! Authenticated datagrams over one UDP socket, without duplicates or replays.
 
-use super::frame::{Body, Foreign, Message, Seal};
+use super::frame::{Body, Message, Rejection, Seal};
 use super::members::Member;
 use crate::replica::fresh::Fresh;
 use std::collections::BTreeMap;
@@ -23,7 +23,7 @@
     /// Messages that were too large, or that the socket's buffer had no room for.
     pub(super) unsent: u64,
     /// Datagrams rejected, by cause.
-    pub(super) rejected: BTreeMap<Foreign, u64>,
+    pub(super) rejected: BTreeMap<Rejection, u64>,
 }
 
 /// The socket, and the state by which messages are sealed, numbered and checked.
@@ -94,10 +94,10 @@
         }
     }
 
-    fn first_time(&mut self, message: Message) -> Result<Message, Foreign> {
+    fn first_time(&mut self, message: Message) -> Result<Message, Rejection> {
         let from = message.from.address;
         if from == self.own_address || !self.received.take(&from, message.run, message.number) {
-            return Err(Foreign::Replayed);
+            return Err(Rejection::Replayed);
         }
         Ok(message)
     }
--- a/tests/peers_frame.rs
+++ b/tests/peers_frame.rs
@@ -1,7 +1,7 @@
 //! The authenticated form of messages among directors, and the file of their keys.
 #![cfg(feature = "peers")]
 
-use foxhold::peers::frame::{parse_keys, Body, Foreign, Message, Seal, VERSION};
+use foxhold::peers::frame::{parse_keys, Body, Message, Rejection, Seal, VERSION};
 use foxhold::peers::members::Member;
 use foxhold::replica::talk::Say;
 use proptest::prelude::*;
@@ -19,11 +19,11 @@
 fn what_is_foreign_is_turned_down_with_its_cause() {
     let good = seal("one", 1).seal(&message()).expect("small");
     assert_eq!(seal("one", 1).open(&good), Ok(message()));
-    assert_eq!(seal("two", 1).open(&good), Err(Foreign::Fleet));
-    assert_eq!(seal("one", 2).open(&good), Err(Foreign::Seal));
-    assert_eq!(seal("one", 1).open(&good[..10]), Err(Foreign::Size));
+    assert_eq!(seal("two", 1).open(&good), Err(Rejection::Fleet));
+    assert_eq!(seal("one", 2).open(&good), Err(Rejection::Seal));
+    assert_eq!(seal("one", 1).open(&good[..10]), Err(Rejection::Size));
     let later = [&[VERSION + 1], &good[1..]].concat();
-    assert_eq!(seal("one", 1).open(&later), Err(Foreign::Version));
+    assert_eq!(seal("one", 1).open(&later), Err(Rejection::Version));
     let two = Seal::new("one", &[vec![2; 32], vec![1; 32]]).expect("keys");
     assert_eq!(two.open(&good), Ok(message()), "an older key opens still");
 }
--- a/tests/peers_members.rs
+++ b/tests/peers_members.rs
@@ -3,7 +3,7 @@
 #![cfg(feature = "peers")]
 
 use foca::Timer;
-use foxhold::peers::members::{Due, Member, Members};
+use foxhold::peers::members::{Member, Members, ProtocolOutput};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,14 +32,14 @@
         self.carry(address(at), due);
     }
 
-    fn carry(&mut self, from: SocketAddr, due: Due) {
+    fn carry(&mut self, from: SocketAddr, due: ProtocolOutput) {
         let mut mail = vec![(from, due)];
         while let Some((from, due)) = mail.pop() {
             self.log.extend(due.changes.iter().map(|c| format!("{from}: {c}")));
             self.timers.extend(due.timers.into_iter().map(|(after, t)| (self.now + after, from, t)));
-            for (to, bytes) in due.send {
+            for (to, bytes) in due.messages {
                 if let Some(member) = self.all.get_mut(&to) {
-                    mail.push((to, member.heard(&bytes)));
+                    mail.push((to, member.handle_message(&bytes)));
                 }
             }
         }
@@ -54,7 +54,7 @@
             let (at, who, timer) = self.timers.swap_remove(next);
             self.now = at;
             if let Some(member) = self.all.get_mut(&who) {
-                let due = member.rang(timer);
+                let due = member.handle_timer(timer);
                 self.carry(who, due);
             }
         }
@@ -70,14 +70,14 @@
     }
     net.run(5);
     for member in net.all.values() {
-        let twins = member.twins();
-        assert_eq!(twins.get("b"), Some(&vec![address(2), address(4)]), "{:?}", member.me());
+        let twins = member.duplicate_names();
+        assert_eq!(twins.get("b"), Some(&vec![address(2), address(4)]), "{:?}", member.local());
         assert_eq!(twins.len(), 1);
     }
     // The first goes: the other is the only one.
     net.all.remove(&address(2));
     net.run(20);
-    assert!(net.all.values().all(|member| member.twins().is_empty()));
+    assert!(net.all.values().all(|member| member.duplicate_names().is_empty()));
 }
 
 #[test]
@@ -90,12 +90,12 @@
     net.run(5);
     net.all.remove(&address(3));
     net.run(20);
-    assert_eq!(net.all[&address(1)].others().len(), 1);
+    assert_eq!(net.all[&address(1)].peers().len(), 1);
     net.timers.retain(|(_, who, _)| *who != address(3));
     net.start("c", 3, unix - 10_000_000);
     net.run(20);
     for member in net.all.values() {
-        assert_eq!(member.others().len(), 2, "{:?}: {:?}", member.me(), net.log);
+        assert_eq!(member.peers().len(), 2, "{:?}: {:?}", member.local(), net.log);
     }
-    assert!(net.all[&address(3)].me().incarnation > unix);
+    assert!(net.all[&address(3)].local().incarnation > unix);
 }
