Decode the settings in steps, each object and each class by a function of its own

It checks the object, opens its sections and decodes the classes, then the fields; classes, zones and the two cold rules have functions, and the names of values are tables. Values are decoded in the same order, so that the same fault is reported where there are several.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -122,96 +122,149 @@
 
 /// Reads a router's settings from their JSON object.
 pub fn decode_settings(json: &Value) -> Result<Settings, String> {
-    let top = Params(json, "");
     if !matches!(json, Value::Object(_)) {
         return Err("not an object".into());
     }
-    let info = top.part("familyInfo", "familyInfo.")?;
-    let bounds = top.part("bounds", "bounds.")?;
-    let rules = top.part("rules", "rules.")?;
-    let (fresh, grace) = (info.reals("lifetimeByClassMs")?, info.reals("classGraceMs")?);
-    let (writes, stale) = (info.flags("passOn")?, info.reals("worthWhenOld")?);
-    let mut classes = Vec::new();
-    for (i, value) in top.list("services")?.iter().enumerate() {
-        let c = Params(value, "services[].");
-        let scopes = [("all", KeyScope::All), ("zone", KeyScope::Zone), ("cell", KeyScope::Cell)];
-        let keyed = Effect::Keyed {
-            scope: c.one_of("keyScope", KeyScope::All, &scopes)?,
-            window: c.time("windowMs", 0.0)?,
-        };
-        let effects =
-            [("idempotent", Effect::Safe), ("deduplicated", keyed), ("at_most_once", Effect::Unsafe)];
-        if c.get("name").is_none() {
-            return Err(c.bad("name", "missing"));
-        }
-        classes.push(Class {
-            name: c.text("name", "")?.to_owned(),
-            aim: c.time("aimMs", 0.0)?,
-            aim_stretch: c.real("aimStretch", 0.0)?,
-            deadline: c.time("deadlineMs", 0.0)?,
-            worth: c.real("worth", 1.0)?,
-            late_share: c.real("lateShare", 0.0)?,
-            effect: c.one_of("effect", Effect::Unsafe, &effects)?,
-            fresh: micros(fresh.get(i).copied().unwrap_or(0.0)),
-            grace: micros(grace.get(i).copied().unwrap_or(0.0)),
-            stale_share: stale.get(i).copied().unwrap_or(1.0),
-            write: writes.get(i).copied().unwrap_or(false),
-            retired: false,
-        });
+    let sections = Sections::new(json)?;
+    let classes = decode_classes(&sections)?;
+    sections.settings(classes)
+}
+
+/// The objects of the settings that hold more than one value.
+struct Sections<'a> {
+    top: Params<'a>,
+    info: Params<'a>,
+    bounds: Params<'a>,
+    rules: Params<'a>,
+}
+
+impl<'a> Sections<'a> {
+    fn new(json: &'a Value) -> Parsed<Sections<'a>> {
+        let top = Params(json, "");
+        let info = top.part("familyInfo", "familyInfo.")?;
+        let bounds = top.part("bounds", "bounds.")?;
+        let rules = top.part("rules", "rules.")?;
+        Ok(Sections { top, info, bounds, rules })
     }
+
+    /// All settings. Values are decoded in the order of the fields: the first fault is the one reported.
+    fn settings(&self, classes: Vec<Class>) -> Parsed<Settings> {
+        let Sections { top, info, bounds, rules } = self;
+        let (zones, zone) = decode_zones(top)?;
+        let parent = info.real("midKind", -1.0)?;
+        let overload_window = rules.time("overloadForMs", 0.0)?;
+        Ok(Settings {
+            classes,
+            kinds: top.texts("kinds")?,
+            parent_kind: (parent >= 0.0).then_some(parent as usize),
+            origin_kind: info.real("storeKind", f64::MAX)? as usize,
+            zones,
+            zone,
+            routers_by_zone: info.reals("instancesByZone")?.iter().map(|n| *n as u32).collect(),
+            routers: top.real("balancers", 1.0)? as u32,
+            zone_link: info.reals("inletKbPerS")?,
+            flow: info.real("flowKbPerS", 0.0)?,
+            sizes_told: matches!(top.text("weights", "off")?, "nominal" | "rough"),
+            must_ask: top.text("discovery", "push")? == "ask",
+            cancel: bounds.flag("cancel")?,
+            second_copies: bounds.flag("secondCopies")?,
+            retry_advice: bounds.flag("retryAfter")?,
+            max_advice: bounds.time("maxRetryAfterMs", 0.0)?,
+            max_attempts: bounds.real("maxAttempts", 0.0)? as u32,
+            probes: bounds.flag("probes")?,
+            peers: bounds.flag("peers")?,
+            report: top.part("report", "report.")?.texts("names")?,
+            direct: info.flag("passThroughOk")?,
+            joins: info.flag("collapses")?,
+            siblings: info.one_of("peersFill", Siblings::None, &SIBLINGS)?,
+            notes: info.one_of("noteLevel", Notes::None, &NOTES)?,
+            drain_grace: rules.time("stopSendingWithinMs", 0.0)?,
+            cold_cache: decode_cold_cache(rules, overload_window)?,
+            cold_parent: decode_cold_parent(info, overload_window)?,
+            purge_grace: info.time("purgeGraceMs", 0.0)?,
+            purge_done: info.time("purgeDoneMs", 0.0)?,
+        })
+    }
+}
+
+/// Values of `keyScope`.
+const KEY_SCOPES: [(&str, KeyScope); 3] =
+    [("all", KeyScope::All), ("zone", KeyScope::Zone), ("cell", KeyScope::Cell)];
+/// Values of `peersFill`.
+const SIBLINGS: [(&str, Siblings); 3] =
+    [("off", Siblings::None), ("location", Siblings::Zone), ("any", Siblings::Any)];
+/// Values of `noteLevel`.
+const NOTES: [(&str, Notes); 3] = [("off", Notes::None), ("hit", Notes::Hit), ("all", Notes::All)];
+
+/// The zones' names, and the place of this router's own among them.
+fn decode_zones(top: &Params) -> Parsed<(Vec<String>, usize)> {
     let zones = top.texts("zones")?;
-    let zone = top.text("zone", "")?;
-    let zone = zones.iter().position(|z| z == zone).ok_or_else(|| top.bad("zone", "not among 'zones'"))?;
-    let parent = info.real("midKind", -1.0)?;
-    let fall_ms = rules.time("overloadForMs", 0.0)?;
-    Ok(Settings {
-        classes,
-        kinds: top.texts("kinds")?,
-        parent_kind: (parent >= 0.0).then_some(parent as usize),
-        origin_kind: info.real("storeKind", f64::MAX)? as usize,
-        zones,
-        zone,
-        routers_by_zone: info.reals("instancesByZone")?.iter().map(|n| *n as u32).collect(),
-        routers: top.real("balancers", 1.0)? as u32,
-        zone_link: info.reals("inletKbPerS")?,
-        flow: info.real("flowKbPerS", 0.0)?,
-        sizes_told: matches!(top.text("weights", "off")?, "nominal" | "rough"),
-        must_ask: top.text("discovery", "push")? == "ask",
-        cancel: bounds.flag("cancel")?,
-        second_copies: bounds.flag("secondCopies")?,
-        retry_advice: bounds.flag("retryAfter")?,
-        max_advice: bounds.time("maxRetryAfterMs", 0.0)?,
-        max_attempts: bounds.real("maxAttempts", 0.0)? as u32,
-        probes: bounds.flag("probes")?,
-        peers: bounds.flag("peers")?,
-        report: top.part("report", "report.")?.texts("names")?,
-        direct: info.flag("passThroughOk")?,
-        joins: info.flag("collapses")?,
-        siblings: info.one_of(
-            "peersFill",
-            Siblings::None,
-            &[("off", Siblings::None), ("location", Siblings::Zone), ("any", Siblings::Any)],
-        )?,
-        notes: info.one_of(
-            "noteLevel",
-            Notes::None,
-            &[("off", Notes::None), ("hit", Notes::Hit), ("all", Notes::All)],
-        )?,
-        drain_grace: rules.time("stopSendingWithinMs", 0.0)?,
-        cold_cache: ColdRule {
-            floor: rules.real("coldFrom", 0.0)?,
-            warm_within: rules.time("warmWithinMs", 0.0)?,
-            multiple: rules.real("fallMultiple", 0.0)?,
-            window: fall_ms,
-        },
-        cold_parent: ColdRule {
-            floor: info.real("parentFloor", 0.0)?,
-            warm_within: info.time("parentWarmsInMs", 0.0)?,
-            multiple: info.real("parentLimitFactor", 0.0)?,
-            window: fall_ms,
-        },
-        purge_grace: info.time("purgeGraceMs", 0.0)?,
-        purge_done: info.time("purgeDoneMs", 0.0)?,
+    let own = top.text("zone", "")?;
+    let place = zones.iter().position(|zone| zone == own);
+    let place = place.ok_or_else(|| top.bad("zone", "not among 'zones'"))?;
+    Ok((zones, place))
+}
+
+fn decode_cold_cache(rules: &Params, window: Micros) -> Parsed<ColdRule> {
+    Ok(ColdRule {
+        floor: rules.real("coldFrom", 0.0)?,
+        warm_within: rules.time("warmWithinMs", 0.0)?,
+        multiple: rules.real("fallMultiple", 0.0)?,
+        window,
+    })
+}
+
+fn decode_cold_parent(info: &Params, window: Micros) -> Parsed<ColdRule> {
+    Ok(ColdRule {
+        floor: info.real("parentFloor", 0.0)?,
+        warm_within: info.time("parentWarmsInMs", 0.0)?,
+        multiple: info.real("parentLimitFactor", 0.0)?,
+        window,
+    })
+}
+
+/// Lists of `familyInfo` with one value for each class.
+struct ClassLists {
+    lifetimes_ms: Vec<f64>,
+    graces_ms: Vec<f64>,
+    writes: Vec<bool>,
+    stale_shares: Vec<f64>,
+}
+
+fn decode_classes(sections: &Sections) -> Parsed<Vec<Class>> {
+    let info = &sections.info;
+    let lists = ClassLists {
+        lifetimes_ms: info.reals("lifetimeByClassMs")?,
+        graces_ms: info.reals("classGraceMs")?,
+        writes: info.flags("passOn")?,
+        stale_shares: info.reals("worthWhenOld")?,
+    };
+    let services = sections.top.list("services")?.iter().enumerate();
+    services.map(|(i, value)| decode_class(&Params(value, "services[]."), i, &lists)).collect()
+}
+
+fn decode_class(class: &Params, index: usize, lists: &ClassLists) -> Parsed<Class> {
+    let keyed = Effect::Keyed {
+        scope: class.one_of("keyScope", KeyScope::All, &KEY_SCOPES)?,
+        window: class.time("windowMs", 0.0)?,
+    };
+    let effects = [("idempotent", Effect::Safe), ("deduplicated", keyed), ("at_most_once", Effect::Unsafe)];
+    if class.get("name").is_none() {
+        return Err(class.bad("name", "missing"));
+    }
+    Ok(Class {
+        name: class.text("name", "")?.to_owned(),
+        aim: class.time("aimMs", 0.0)?,
+        aim_stretch: class.real("aimStretch", 0.0)?,
+        deadline: class.time("deadlineMs", 0.0)?,
+        worth: class.real("worth", 1.0)?,
+        late_share: class.real("lateShare", 0.0)?,
+        effect: class.one_of("effect", Effect::Unsafe, &effects)?,
+        fresh: micros(lists.lifetimes_ms.get(index).copied().unwrap_or(0.0)),
+        grace: micros(lists.graces_ms.get(index).copied().unwrap_or(0.0)),
+        stale_share: lists.stale_shares.get(index).copied().unwrap_or(1.0),
+        write: lists.writes.get(index).copied().unwrap_or(false),
+        retired: false,
     })
 }
 
