Parse the wire's messages in a function each

Host::event had 92 lines: one match that checked, started, ended and parsed all messages to a router.

The messages are a table; start has a function, and so has each message that becomes an event. Fields are taken in the same order.

Checked: wire, parsers and property pass.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -145,6 +145,23 @@
     }
 }
 
+/// Messages to one router, but its member list.
+const MESSAGES: [&str; 10] = [
+    "start",
+    "down",
+    "ask",
+    "under_way",
+    "report_back",
+    "left",
+    "timer",
+    "health",
+    "from_peer",
+    "invalidated",
+];
+/// The bit of `stateBits` that marks a request as a repeat.
+const REPEAT_BIT: u32 = 2;
+
+/// A router, and the names that messages to it use.
 struct Hosted {
     router: Router,
     zones: Vec<String>,
@@ -212,100 +229,38 @@
         Ok(())
     }
 
+    /// Handles one message that is neither the frame of a batch nor a list.
     fn event(&mut self, f: &mut Fields, reply: &mut String) -> Parsed<()> {
         let message = f.message;
-        if !matches!(
-            message,
-            "start"
-                | "down"
-                | "ask"
-                | "under_way"
-                | "report_back"
-                | "left"
-                | "timer"
-                | "health"
-                | "from_peer"
-                | "invalidated"
-        ) {
+        if !MESSAGES.contains(&message) {
             return Err(format!("unknown message '{message}'"));
         }
         let who: u32 = f.number("who")?;
         if message == "start" {
-            let seed = f.number("entropy")?;
-            let settings = parse_settings(f.tail("params")?)
-                .map_err(|e| format!("message 'start', field 'params': {e}"))?;
-            let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
-            let (zones, kinds) = (settings.zones.clone(), settings.kinds.clone());
-            let router =
-                Router::new(settings, seed).map_err(|e| format!("message 'start', field 'params': {e}"))?;
-            self.instances.insert(who, Hosted { router, zones, kinds, classes });
-            return Ok(());
+            return self.start(who, f);
         }
         let hosted = self.instances.get(&who).ok_or_else(|| unknown(message, who))?;
-        let event = match message {
-            "down" => {
-                self.instances.remove(&who);
-                return Ok(());
-            }
-            "ask" => {
-                let id = RequestId(f.number("xid")?);
-                let class = f.place("type", &hosted.classes)?;
-                f.optional(); // the tenant: no decision goes by it
-                Event::Request(Request {
-                    id,
-                    class,
-                    object: f.object("file")?.unwrap_or_default(),
-                    deadline: f.time("clientDeadlineMs")?,
-                    size_kb: f.real_or("lengthKb", 0.0)?.max(0.0),
-                    group: Some(f.number_or("batchId", 0)?),
-                    part: f.number_or("part", 0)?,
-                    repeat: f.number_or("stateBits", 0u32)? & 2 != 0,
-                })
-            }
-            "under_way" => {
-                let request = RequestId(f.number("xid")?);
-                f.server()?;
-                f.time("durationMs")?;
-                Event::Started { request, attempt: f.number("copy")? }
-            }
-            "report_back" => Event::Ended(AttemptEnd {
-                request: RequestId(f.number("xid")?),
-                attempt: f.number("copy")?,
-                server: f.server()?,
-                outcome: f.outcome()?,
-                took: f.time("durationMs")?,
-                over: f.flag("settled")?,
-                note: parse_note(f)?,
-                waited: f.time_or("waitedMs", 0)?,
-                report: f.row("feedback")?,
-            }),
-            "left" => Event::Left(RequestId(f.number("xid")?)),
-            "timer" => {
-                let tag = f.tail("tag")?;
-                // A tag that is not a number is none of ours; the router passes an unknown token over.
-                Event::Timer(tag.parse().unwrap_or(Token::MAX))
-            }
-            "health" => Event::Probed {
-                server: f.server()?,
-                outcome: f.outcome()?,
-                took: f.time("durationMs")?,
-                report: f.row("feedback")?,
-            },
-            "from_peer" => {
-                let from = f.number("from")?;
-                let text = f.optional().unwrap_or("");
-                let bytes = STANDARD.decode(text).map_err(|_| f.bad("msg", "not base64"))?;
-                Event::Message { from, bytes }
-            }
-            _ => {
-                let object = f.object("file")?.filter(|o| o.0 != 0);
-                Event::Purged { object, group: f.number_or("setNo", 0)?, age: f.time_or("ageSpanMs", 0)? }
-            }
-        };
+        if message == "down" {
+            self.instances.remove(&who);
+            return Ok(());
+        }
+        let event = parse_event(f, hosted)?;
         self.deliver(who, event, reply);
         Ok(())
     }
 
+    /// Starts a router by the settings in the message.
+    fn start(&mut self, who: u32, f: &mut Fields) -> Parsed<()> {
+        let bad_params = |e: String| format!("message 'start', field 'params': {e}");
+        let seed = f.number("entropy")?;
+        let settings = parse_settings(f.tail("params")?).map_err(bad_params)?;
+        let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
+        let (zones, kinds) = (settings.zones.clone(), settings.kinds.clone());
+        let router = Router::new(settings, seed).map_err(|e| bad_params(e.to_string()))?;
+        self.instances.insert(who, Hosted { router, zones, kinds, classes });
+        Ok(())
+    }
+
     fn deliver(&mut self, who: u32, event: Event, reply: &mut String) {
         if let Some(hosted) = self.instances.get_mut(&who) {
             self.actions.clear();
@@ -347,6 +302,82 @@
     format!("message '{message}', field 'who': no instance {who} was started")
 }
 
+/// The event of a message that is one of [`MESSAGES`], but `start` and `down`.
+fn parse_event(f: &mut Fields, hosted: &Hosted) -> Parsed<Event> {
+    match f.message {
+        "ask" => parse_request(f, hosted),
+        "under_way" => parse_started(f),
+        "report_back" => parse_ended(f),
+        "left" => Ok(Event::Left(RequestId(f.number("xid")?))),
+        "timer" => {
+            let tag = f.tail("tag")?;
+            // A tag that is not a number is none of ours; the router ignores an unknown token.
+            Ok(Event::Timer(tag.parse().unwrap_or(Token::MAX)))
+        }
+        "health" => parse_probed(f),
+        "from_peer" => parse_peer_message(f),
+        _ => parse_purged(f),
+    }
+}
+
+fn parse_request(f: &mut Fields, hosted: &Hosted) -> Parsed<Event> {
+    let id = RequestId(f.number("xid")?);
+    let class = f.place("type", &hosted.classes)?;
+    f.optional(); // the tenant: no decision depends on it
+    Ok(Event::Request(Request {
+        id,
+        class,
+        object: f.object("file")?.unwrap_or_default(),
+        deadline: f.time("clientDeadlineMs")?,
+        size_kb: f.real_or("lengthKb", 0.0)?.max(0.0),
+        group: Some(f.number_or("batchId", 0)?),
+        part: f.number_or("part", 0)?,
+        repeat: f.number_or("stateBits", 0u32)? & REPEAT_BIT != 0,
+    }))
+}
+
+fn parse_started(f: &mut Fields) -> Parsed<Event> {
+    let request = RequestId(f.number("xid")?);
+    f.server()?;
+    f.time("durationMs")?;
+    Ok(Event::Started { request, attempt: f.number("copy")? })
+}
+
+fn parse_ended(f: &mut Fields) -> Parsed<Event> {
+    Ok(Event::Ended(AttemptEnd {
+        request: RequestId(f.number("xid")?),
+        attempt: f.number("copy")?,
+        server: f.server()?,
+        outcome: f.outcome()?,
+        took: f.time("durationMs")?,
+        over: f.flag("settled")?,
+        note: parse_note(f)?,
+        waited: f.time_or("waitedMs", 0)?,
+        report: f.row("feedback")?,
+    }))
+}
+
+fn parse_probed(f: &mut Fields) -> Parsed<Event> {
+    Ok(Event::Probed {
+        server: f.server()?,
+        outcome: f.outcome()?,
+        took: f.time("durationMs")?,
+        report: f.row("feedback")?,
+    })
+}
+
+fn parse_peer_message(f: &mut Fields) -> Parsed<Event> {
+    let from = f.number("from")?;
+    let text = f.optional().unwrap_or("");
+    let bytes = STANDARD.decode(text).map_err(|_| f.bad("msg", "not base64"))?;
+    Ok(Event::Message { from, bytes })
+}
+
+fn parse_purged(f: &mut Fields) -> Parsed<Event> {
+    let object = f.object("file")?.filter(|o| o.0 != 0);
+    Ok(Event::Purged { object, group: f.number_or("setNo", 0)?, age: f.time_or("ageSpanMs", 0)? })
+}
+
 fn parse_view(f: &mut Fields) -> Parsed<(u32, ListKind, usize)> {
     let who = f.number("who")?;
     let kind = match f.text("how")? {
