Put credentials below the core: requests and answers have a part of their own

src/signed imported the core for four items that are neither its actor nor its messages: Ask, Answer, Cause and is_name.

They and Copy stand in src/request.rs, above the interface only; the core gives them out under the paths that they had, so that no caller changes. tests/layers.rs is stricter: credentials stand below the wire and the core, requests below all but estimates and the interface.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::api::{Micros, Note, ServerId, Settings};
 pub use crate::membership::Listing;
+pub use crate::request::{is_name, Answer, Ask, Cause, Copy};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -34,80 +35,6 @@
 /// When a client that found the mailbox full should come back.
 const WHEN_FULL: Duration = Duration::from_millis(500);
 
-/// A client's request, as any front words it.
-#[derive(Clone, Debug, Default)]
-pub struct Ask {
-    /// The id that servers are given.
-    pub id: Arc<str>,
-    /// Place among the settings' classes.
-    pub class: usize,
-    /// The object's name.
-    pub object: Arc<str>,
-    /// The part of it, where one was named.
-    pub part: Option<u32>,
-    /// The object's group, which purges may name; none: not told, so that it may be any.
-    pub group: Option<u32>,
-    /// Size in KB; 0: not told.
-    pub size_kb: f64,
-    /// Marked as a client's repeat.
-    pub repeat: bool,
-    /// How long the client waits from now on.
-    pub allow: Duration,
-    /// The tag of the client's copy.
-    pub known: Option<Arc<str>>,
-    /// What servers know a repeat by, where they throw repeats away: the client's word, the same each time.
-    pub token: Option<Arc<str>>,
-    /// What is to be written.
-    pub body: Bytes,
-    /// The Unix time in microseconds from which no answer may begin; none: the client's credential, if it
-    /// has one, does not expire.
-    pub valid_until: Option<Micros>,
-}
-
-/// What a server gave.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Copy {
-    /// The copy's tag.
-    pub tag: Option<Arc<str>>,
-    /// The bytes, unchanged.
-    pub body: Bytes,
-}
-
-/// Why there is no answer from a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// There was no room for it.
-    Busy,
-    /// The time to answer was over.
-    Deadline,
-    /// Servers failed it, or none could be asked.
-    Upstream,
-    /// The client's credential expired while the request waited.
-    Expired,
-    /// A request with the same id is held already.
-    Duplicate,
-    /// The core has ended, or is about to.
-    Ended,
-}
-
-/// The one final answer to an [`Ask`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The bytes asked for.
-    Served(Copy),
-    /// The client's own copy is the one that would be served.
-    Unchanged(Option<Arc<str>>),
-    /// Turned away: nothing ran that may not run again.
-    Refused {
-        /// When to come back, where that is advised.
-        wait: Option<Duration>,
-        /// Why.
-        cause: Cause,
-    },
-    /// Failed: nothing is promised of what ran.
-    Failed(Cause),
-}
-
 /// Names one attempt: the request's number in the core and the attempt's in the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket {
@@ -502,12 +429,6 @@
     }
 }
 
-/// Whether a name can be passed on to servers unchanged, as a word among fields.
-pub fn is_name(text: &str) -> bool {
-    let good = |b: u8| b.is_ascii_graphic() && b != b',' && b != b'=';
-    !text.is_empty() && text.len() <= 256 && text.bytes().all(good)
-}
-
 /// An entity tag without its quotes and weakness.
 pub fn bare_tag(tag: &str) -> &str {
     let tag = tag.strip_prefix("W/").unwrap_or(tag);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod peers;
 #[cfg(feature = "peers")]
 pub mod replica;
+mod request;
 pub mod settings;
 pub mod signed;
 pub mod sources;
--- a/src/signed/request.rs
+++ b/src/signed/request.rs
@@ -3,7 +3,7 @@
 
 use super::{Denied, Grant};
 use crate::api::Settings;
-use crate::core::{is_name, Answer, Ask, Cause};
+use crate::request::{is_name, Answer, Ask, Cause};
 use bytes::Bytes;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -3,18 +3,19 @@
 use std::path::Path;
 
 /// From the ground up. A part imports parts named before it only.
-const LAYERS: [&str; 18] = [
+const LAYERS: [&str; 19] = [
     "estimate",
     "api",
+    "request",
     "decide",
     "membership",
     "replica",
     "operator",
     "log",
     "settings",
+    "signed",
     "wire",
     "core",
-    "signed",
     "transport",
     "sources",
     "peers",
