--- a/crates/foxhold-lab/src/leave.rs
+++ b/crates/foxhold-lab/src/leave.rs
@@ -2,7 +2,7 @@
 //! than 0.1 s later, held against what servers saw.
 
 use crate::plan::{Plan, What};
-use crate::relay::Hurt;
+use crate::relay::LinkFault;
 use crate::standin::Noted;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -109,7 +109,7 @@
     plan.faults.iter().filter(|fault| lasts(fault.at, fault.lasts).contains(&at)).any(|fault| {
         match fault.what {
             What::Stall => named(&fault.who),
-            What::Link => fault.hurt != Hurt::None && named(&fault.to),
+            What::Link => fault.hurt != LinkFault::None && named(&fault.to),
             _ => false,
         }
     })
