Build the daemon without talk among directors free of lints

Cause: the step that starts the sources bound a unit value where the feature peers is off; clippy with -D warnings turned it down. Change: the handle is an option there too, of a type without values. Result: clippy and rustdoc are clean with all features, with the defaults, without, and with cli alone.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -106,10 +106,12 @@
     Ok(Some((file, keys, section)))
 }
 
+/// The talk among directors, where the operator's file has a section for it.
 #[cfg(feature = "peers")]
 type Talk = Option<peers::Peers>;
+/// There is none in a program that was built without it.
 #[cfg(not(feature = "peers"))]
-type Talk = ();
+type Talk = Option<std::convert::Infallible>;
 
 /// Where members and purges come from.
 struct Sources {
@@ -155,7 +157,10 @@
             None => None,
         };
         #[cfg(not(feature = "peers"))]
-        let peers = drop(notices);
+        let peers = {
+            drop(notices); // nobody hears them
+            None
+        };
         Ok(Started { core, task, peers })
     }
 }
