--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::api::{Micros, Note, ServerId, Settings};
 pub use crate::membership::Listing;
+pub use crate::request::{is_name, Answer, Ask, Cause, Copy};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -34,80 +35,6 @@
 /// When a client that found the mailbox full should come back.
 const WHEN_FULL: Duration = Duration::from_millis(500);
 
-/// A client's request, as any front words it.
-#[derive(Clone, Debug, Default)]
-pub struct Ask {
-    /// The id that servers are given.
-    pub id: Arc<str>,
-    /// Place among the settings' classes.
-    pub class: usize,
-    /// The object's name.
-    pub object: Arc<str>,
-    /// The part of it, where one was named.
-    pub part: Option<u32>,
-    /// The object's group, which purges may name; none: not told, so that it may be any.
-    pub group: Option<u32>,
-    /// Size in KB; 0: not told.
-    pub size_kb: f64,
-    /// Marked as a client's repeat.
-    pub repeat: bool,
-    /// How long the client waits from now on.
-    pub allow: Duration,
-    /// The tag of the client's copy.
-    pub known: Option<Arc<str>>,
-    /// What servers know a repeat by, where they throw repeats away: the client's word, the same each time.
-    pub token: Option<Arc<str>>,
-    /// What is to be written.
-    pub body: Bytes,
-    /// The Unix time in microseconds from which no answer may begin; none: the client's credential, if it
-    /// has one, does not expire.
-    pub valid_until: Option<Micros>,
-}
-
-/// What a server gave.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Copy {
-    /// The copy's tag.
-    pub tag: Option<Arc<str>>,
-    /// The bytes, unchanged.
-    pub body: Bytes,
-}
-
-/// Why there is no answer from a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// There was no room for it.
-    Busy,
-    /// The time to answer was over.
-    Deadline,
-    /// Servers failed it, or none could be asked.
-    Upstream,
-    /// The client's credential expired while the request waited.
-    Expired,
-    /// A request with the same id is held already.
-    Duplicate,
-    /// The core has ended, or is about to.
-    Ended,
-}
-
-/// The one final answer to an [`Ask`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The bytes asked for.
-    Served(Copy),
-    /// The client's own copy is the one that would be served.
-    Unchanged(Option<Arc<str>>),
-    /// Turned away: nothing ran that may not run again.
-    Refused {
-        /// When to come back, where that is advised.
-        wait: Option<Duration>,
-        /// Why.
-        cause: Cause,
-    },
-    /// Failed: nothing is promised of what ran.
-    Failed(Cause),
-}
-
 /// Names one attempt: the request's number in the core and the attempt's in the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket {
@@ -122,6 +49,8 @@
 pub enum Broken {
     /// No connection came up.
     NotConnected,
+    /// No connection was tried, for this process has no descriptor left for one: no fault of the server.
+    NoDescriptor,
     /// Nothing of it was written.
     Unwritten,
     /// A part of it was written; a server runs only what came whole.
@@ -145,6 +74,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             Broken::NotConnected => "not connected",
+            Broken::NoDescriptor => "no descriptor left",
             Broken::Unwritten => "nothing written",
             Broken::PartlyWritten => "partly written",
             Broken::Written => "written, not answered",
@@ -156,21 +86,64 @@
 
 impl std::error::Error for Broken {}
 
+/// A client as its front reaches it.
+pub trait Client: std::fmt::Debug + Send + Sync {
+    /// Looks whether it has left, be it that the runtime has told nobody of it yet. It must not block.
+    fn has_left(&self) -> bool;
+}
+
+/// A client among what a host's server leaves with a request, for the middleware.
+#[derive(Clone, Debug)]
+pub struct ClientHandle(Arc<dyn Client>);
+
+impl ClientHandle {
+    /// Of this client.
+    pub fn new(client: impl Client + 'static) -> Self {
+        ClientHandle(Arc::new(client))
+    }
+}
+
+impl Client for ClientHandle {
+    fn has_left(&self) -> bool {
+        self.0.has_left()
+    }
+}
+
 /// Whether a request is over: answered, or let go by its client. Whoever carries its attempts looks at this
 /// last thing before the first byte: the order that calls an attempt off can find a mailbox full, or cross
-/// the attempt on its way from a connection that has ended to another.
+/// the attempt on its way from a connection that has ended to another; and while the runtime is held up, a
+/// client's end waits unseen.
 #[derive(Clone, Debug, Default)]
-pub struct Over(Arc<AtomicBool>);
+pub struct Over(Arc<OverState>);
+
+#[derive(Debug, Default)]
+struct OverState {
+    ended: AtomicBool,
+    client: Option<Box<dyn Client>>,
+}
 
 impl Over {
-    /// Whether nothing more is to be sent for it.
+    /// The same for a request whose client can be looked at.
+    pub fn of(client: impl Client + 'static) -> Self {
+        Over(Arc::new(OverState { ended: AtomicBool::new(false), client: Some(Box::new(client)) }))
+    }
+
+    /// Whether nothing more is to be sent for it, as far as was told.
     pub fn is(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.ended.load(Ordering::Relaxed)
+    }
+
+    /// The same, and the client itself is looked at, where its front reaches it: right before the first byte.
+    pub fn look(&self) -> bool {
+        if !self.is() && self.0.client.as_ref().is_some_and(|client| client.has_left()) {
+            self.end();
+        }
+        self.is()
     }
 
     /// It is over from now on.
     pub fn end(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.ended.store(true, Ordering::Relaxed);
     }
 }
 
@@ -233,7 +206,7 @@
     pub until: Instant,
     /// Not to be sent after this: by then it may no longer be right to.
     pub send_by: Instant,
-    /// Not to be sent once this says so.
+    /// Not to be sent once this says so; looked at right before the first byte ([`Over::look`]).
     pub over: Over,
     /// The server a miss is filled from; none: no fill.
     pub via: Option<Arc<str>>,
@@ -399,6 +372,12 @@
         self.0.try_send(message).is_ok()
     }
 
+    /// Waits for room for one message, so that nothing can come between a last look and its sending; none:
+    /// the actor has ended.
+    pub async fn reserve(&self) -> Option<mpsc::Permit<'_, Message>> {
+        self.0.reserve().await.ok()
+    }
+
     /// Hands a message over; an actor that has ended wants none.
     pub async fn send(&self, message: Message) {
         let _ = self.0.send(message).await;
@@ -435,8 +414,18 @@
 
     /// Hands a request over. Dropping the [`Pending`] tells the core that the client has gone.
     pub fn ask(&self, ask: Ask) -> Pending {
+        self.hand_over(ask, Over::default())
+    }
+
+    /// The same for a client that can be looked at: it counts as gone as soon as it has left, be it before
+    /// the [`Pending`] is dropped.
+    pub fn ask_of(&self, ask: Ask, client: impl Client + 'static) -> Pending {
+        self.hand_over(ask, Over::of(client))
+    }
+
+    fn hand_over(&self, ask: Ask, over: Over) -> Pending {
         let request = self.next.fetch_add(1, Ordering::Relaxed);
-        let ((reply, answer), over) = (oneshot::channel(), Over::default());
+        let (reply, answer) = oneshot::channel();
         // Full: the request is turned away at once, which is harmless as nothing ran.
         let taken = self.mailbox.try_send(Message::Ask(request, Box::new(ask), reply, over.clone()));
         let cause = match &taken {
@@ -502,12 +491,6 @@
     }
 }
 
-/// Whether a name can be passed on to servers unchanged, as a word among fields.
-pub fn is_name(text: &str) -> bool {
-    let good = |b: u8| b.is_ascii_graphic() && b != b',' && b != b'=';
-    !text.is_empty() && text.len() <= 256 && text.bytes().all(good)
-}
-
 /// An entity tag without its quotes and weakness.
 pub fn bare_tag(tag: &str) -> &str {
     let tag = tag.strip_prefix("W/").unwrap_or(tag);
