Let many hollow directors run in one process over a simulated network

Cause: what control costs a director at thousands of directors could only be guessed from 300 real processes.

--- a/crates/foxhold-lab/src/harness.rs
+++ b/crates/foxhold-lab/src/harness.rs
@@ -172,7 +172,7 @@
 }
 
 /// Which signal came that ends a play.
-async fn interrupted() -> std::io::Result<&'static str> {
+pub(crate) async fn interrupted() -> std::io::Result<&'static str> {
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
     tokio::select! {
         ctrl_c = tokio::signal::ctrl_c() => ctrl_c.map(|()| "interrupted"),
--- /dev/null
+++ b/crates/foxhold-lab/src/hollow/director.rs
@@ -0,0 +1,254 @@
+//! One hollow director: the real membership, conversation, replay window and seal, put together as the actor in
+//! [`foxhold::peers`] does it, without its socket, its disk and its core.
+
+use foxhold::api::Micros;
+use foxhold::peers::frame::{Body, Message, Seal};
+use foxhold::peers::members::{Due, Member, Members, Timer};
+use foxhold::peers::{GREETING, MEET, MEET_ASK, SEEDS, SENDERS};
+use foxhold::replica::fresh::Fresh;
+use foxhold::replica::state::{Bounds, Now, State};
+use foxhold::replica::talk::{Say, Stage, Talk};
+use foxhold::replica::word::{Key, Run};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+/// The port of all hollow directors; nothing is opened there.
+const PORT: u16 = 7_300;
+/// Seeds that directors are set up with, as operators do.
+const SEED_DIRECTORS: usize = 3;
+
+/// What a director wants done.
+#[derive(Default)]
+pub struct Output {
+    /// Datagrams to send.
+    pub datagrams: Vec<(usize, Vec<u8>)>,
+    /// Timers to give back after so many microseconds.
+    pub timers: Vec<(Micros, Timer)>,
+    /// Keys of which it came to hold something new.
+    pub learned: Vec<Key>,
+}
+
+/// The address of a director.
+pub fn address(director: usize) -> SocketAddr {
+    let [_, a, b, c] = (director as u32).to_be_bytes();
+    (Ipv4Addr::new(10, a, b, c), PORT).into()
+}
+
+fn number(address: &SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(at) => Some((u32::from(*at.ip()) & 0x00ff_ffff) as usize),
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// A director as membership knows it, started with this incarnation.
+pub fn member(director: usize, incarnation: u64) -> Member {
+    Member::new(&format!("director-{director}"), address(director), incarnation)
+}
+
+/// The director.
+pub struct Director {
+    me: usize,
+    run: u64,
+    sent: u64,
+    seal: Rc<Seal>,
+    members: Members,
+    talk: Talk<SocketAddr>,
+    fresh: Fresh<SocketAddr>,
+    heard: HashMap<SocketAddr, Micros>,
+    there: HashSet<Member>,
+    next_greeting: Micros,
+    next_seeds: Micros,
+    next_meet: Micros,
+    met: usize,
+    random: StdRng,
+}
+
+impl Director {
+    /// One of so many directors, at its start.
+    pub fn new(me: usize, directors: usize, seal: Rc<Seal>, seed: u64, now: Now) -> Director {
+        let mut random = StdRng::seed_from_u64(seed ^ (me as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let run: u64 = random.random();
+        let members = Members::new(member(me, now.unix), directors as u32, run);
+        let talk = Talk::new(State::new(Run(run), Bounds::default()), run, now);
+        Director {
+            me,
+            run,
+            sent: 0,
+            seal,
+            members,
+            talk,
+            fresh: Fresh::new(SENDERS),
+            heard: HashMap::new(),
+            there: HashSet::new(),
+            next_greeting: now.steady,
+            next_seeds: now.steady,
+            next_meet: now.steady,
+            met: 0,
+            random,
+        }
+    }
+
+    /// Takes others for known, as in a fleet that has long been up.
+    pub fn know(&mut self, others: impl Iterator<Item = Member>) -> Output {
+        let mut output = Output::default();
+        let due = self.members.know(others);
+        self.due(due, &mut output);
+        self.met = self.talk.peers().len();
+        output
+    }
+
+    /// Holds a purge of that time, as if it had long been told.
+    pub fn hold(&mut self, key: Key, at: Micros, now: Now) {
+        // Refused only past the bound on entries, which the report shows by the entries held.
+        let _ = self.talk.state.purge(key, at, now);
+    }
+
+    /// The entries that it holds.
+    pub fn state(&self) -> &State {
+        &self.talk.state
+    }
+
+    /// The others that it takes to be there.
+    pub fn others(&self) -> usize {
+        self.talk.peers().len()
+    }
+
+    /// Whether it is still pulling what others hold.
+    pub fn catches_up(&self) -> bool {
+        self.talk.stage() == Stage::CatchingUp
+    }
+
+    /// What is due by itself, each [`foxhold::peers::TICK`].
+    pub fn tick(&mut self, now: Now) -> Output {
+        let mut output = Output::default();
+        self.converse(now, &mut output);
+        if now.steady >= self.next_seeds {
+            self.next_seeds =
+                now.steady + (SEEDS.as_micros() as f64 * self.random.random_range(0.5..1.5)) as Micros;
+            self.look_for_seeds(&mut output);
+        }
+        if now.steady >= self.next_meet {
+            self.next_meet = now.steady + MEET.as_micros() as Micros;
+            self.meet(&mut output);
+        }
+        output
+    }
+
+    fn converse(&mut self, now: Now, output: &mut Output) {
+        let mut said = Vec::new();
+        self.talk.tick(now, &mut said);
+        self.say(said, output);
+    }
+
+    fn look_for_seeds(&mut self, output: &mut Output) {
+        let there: BTreeSet<SocketAddr> = self.members.others().iter().map(|m| m.address).collect();
+        let seeds = (0..SEED_DIRECTORS).filter(|seed| *seed != self.me).map(address);
+        let missing: Vec<SocketAddr> = seeds.filter(|seed| !there.contains(seed)).collect();
+        for seed in missing {
+            let due = self.members.announce(seed);
+            self.due(due, output);
+        }
+        // The actor looks at the names of all members here.
+        let _twins = self.members.twins();
+    }
+
+    fn meet(&mut self, output: &mut Output) {
+        let others = self.talk.peers().to_vec();
+        if others.len() <= std::mem::replace(&mut self.met, others.len()) {
+            return;
+        }
+        for _ in 0..MEET_ASK {
+            let one = others[self.random.random_range(0..others.len())];
+            let due = self.members.announce(one);
+            self.due(due, output);
+        }
+    }
+
+    /// An operator's purge, told here now.
+    pub fn purge(&mut self, key: Key, now: Now) -> Output {
+        let mut output = Output::default();
+        let change = self.talk.state.purge(key, now.unix, now).ok().flatten();
+        output.learned.extend(change.iter().map(|(key, _)| key.clone()));
+        self.talk.told(change);
+        self.converse(now, &mut output);
+        output
+    }
+
+    /// A timer rang.
+    pub fn rang(&mut self, timer: Timer) -> Output {
+        let mut output = Output::default();
+        let due = self.members.rang(timer);
+        self.due(due, &mut output);
+        output
+    }
+
+    /// A datagram came.
+    pub fn datagram(&mut self, bytes: &[u8], now: Now) -> Output {
+        let mut output = Output::default();
+        let Ok(message) = self.seal.open(bytes) else { return output };
+        let from = message.from.address;
+        if from == address(self.me) || !self.fresh.take(&from, message.run, message.number) {
+            return output;
+        }
+        self.heard.insert(from, now.steady);
+        if now.steady >= self.next_greeting && !self.there.contains(&message.from) {
+            self.next_greeting = now.steady + GREETING.as_micros() as Micros;
+            let due = self.members.announce(from);
+            self.due(due, &mut output);
+        }
+        match message.body {
+            Body::Swim(bytes) => {
+                let due = self.members.heard(&bytes);
+                self.due(due, &mut output);
+            }
+            Body::Say(say) => {
+                let mut said = Vec::new();
+                self.talk.heard(&from, say, now, &mut said);
+                self.say(said, &mut output);
+            }
+        }
+        output
+    }
+
+    fn say(&mut self, said: Vec<(SocketAddr, Say)>, output: &mut Output) {
+        for (to, say) in said {
+            self.send(to, Body::Say(say), output);
+        }
+        output.learned.extend(self.talk.news().into_iter().map(|news| news.key));
+    }
+
+    fn due(&mut self, due: Due, output: &mut Output) {
+        for (to, bytes) in due.send {
+            self.send(to, Body::Swim(bytes), output);
+        }
+        let timers = due.timers.into_iter();
+        output.timers.extend(timers.map(|(after, timer)| (after.as_micros() as Micros, timer)));
+        if due.changes.is_empty() {
+            return;
+        }
+        self.there = self.members.others().into_iter().collect();
+        let others: Vec<SocketAddr> = self.there.iter().map(|m| m.address).collect();
+        let dead: BTreeSet<SocketAddr> = self.members.dead().into_iter().map(|m| m.address).collect();
+        self.heard.retain(|address, _| others.contains(address) || dead.contains(address));
+        self.talk.members(sorted(others));
+    }
+
+    fn send(&mut self, to: SocketAddr, body: Body, output: &mut Output) {
+        self.sent += 1;
+        let from = self.members.me().clone();
+        let message = Message { from, run: self.run, number: self.sent, body };
+        if let (Some(datagram), Some(to)) = (self.seal.seal(&message), number(&to)) {
+            output.datagrams.push((to, datagram));
+        }
+    }
+}
+
+/// In one order: that of a `HashSet` is another in each process, and the draws of members go by it.
+fn sorted(mut others: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    others.sort_unstable();
+    others
+}
--- /dev/null
+++ b/crates/foxhold-lab/src/hollow/mod.rs
@@ -0,0 +1,188 @@
+//! Hollow directors: the real replica, membership and message code of many directors in one process, over a simulated
+//! network and in simulated time, without clients and servers: `foxhold-lab hollow`.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`clock`] | simulated time: one queue of events |
+//! | [`network`] | where directors are, delays, loss and cuts |
+//! | [`director`] | one hollow director |
+//! | [`scenario`] | what happens to a fleet, and when |
+//! | [`simulation`] | a fleet's run, within its bounds |
+//! | [`measurement`] | what each director spent, and when purges were everywhere |
+//! | [`fit`] | lines through the figures of several sizes |
+//! | [`report`] | the figures as text, JSON and a page with plots |
+//!
+//! All but processor time and memory is decided by the seed.
+
+pub mod clock;
+pub mod director;
+pub mod fit;
+pub mod measurement;
+pub mod network;
+pub mod report;
+pub mod scenario;
+pub mod simulation;
+
+use crate::replay::Failure;
+use fit::Axis;
+use measurement::Measurement;
+use network::Topology;
+use report::Report;
+use scenario::Scenario;
+use simulation::{Ended, Simulation};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// What is simulated. One of directors, purges and held entries may be a list: figures are fitted over it.
+#[derive(Clone, Debug, clap::Args, serde::Serialize)]
+pub struct Options {
+    /// Directors: one size, or several
+    #[arg(long, value_delimiter = ',', default_value = "10,30,100")]
+    pub directors: Vec<u32>,
+    /// Purges a second in the whole fleet: one rate, or several
+    #[arg(long, value_delimiter = ',', default_value = "99")]
+    pub purges: Vec<u32>,
+    /// Purges that each director holds from the start: one number, or several
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    pub held: Vec<u32>,
+    /// Purge groups in place of objects with names of 16 bytes, as `foxhold-lab talk` does
+    #[arg(long)]
+    pub groups: bool,
+    /// What happens meanwhile
+    #[arg(long, value_enum, default_value_t = Scenario::Ordinary)]
+    pub scenario: Scenario,
+    /// Simulated seconds that are measured
+    #[arg(long, default_value_t = 10)]
+    pub seconds: u32,
+    /// Simulated seconds before that
+    #[arg(long, default_value_t = 5)]
+    pub warm_up: u32,
+    /// Simulated seconds after the last purge in which it may still arrive
+    #[arg(long, default_value_t = 10)]
+    pub settle: u32,
+    /// Share of datagrams that is lost
+    #[arg(long, default_value_t = 0.0)]
+    pub lost: f64,
+    /// Where directors are
+    #[command(flatten)]
+    pub topology: Topology,
+    /// What delays, losses and draws come from
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// The bounds
+    #[command(flatten)]
+    pub bounds: Bounds,
+    /// Where to write the figures, as JSON
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+    /// Where to write the page with plots
+    #[arg(long)]
+    pub html: Option<PathBuf>,
+}
+
+/// What a run may take; it ends at the first that is reached.
+#[derive(Clone, Copy, Debug, clap::Args, serde::Serialize)]
+pub struct Bounds {
+    /// MB that may be allocated
+    #[arg(long, default_value_t = 6_000)]
+    pub most_memory_mb: usize,
+    /// Events that may wait at a time
+    #[arg(long, default_value_t = 5_000_000)]
+    pub most_events: usize,
+    /// Seconds of real time for each size
+    #[arg(long, default_value_t = 600)]
+    pub most_wall_s: u64,
+}
+
+/// One run's size.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Directors.
+    pub directors: u32,
+    /// Purges a second.
+    pub purges: u32,
+    /// Purges held from the start.
+    pub held: u32,
+}
+
+/// What a run needs from its process.
+#[derive(Clone)]
+pub struct Host {
+    /// Bytes that are allocated in this process; 0 where nobody counts them.
+    pub allocated: fn() -> usize,
+    /// Set once the run is to end.
+    pub interrupted: Arc<AtomicBool>,
+}
+
+impl Options {
+    /// The sizes, and along what they differ.
+    fn sizes(&self) -> Result<(Axis, Vec<Size>), Failure> {
+        let several = |list: &[u32]| list.len() > 1;
+        let lists = [&self.directors, &self.purges, &self.held];
+        if lists.iter().any(|list| list.is_empty()) || lists.iter().filter(|list| several(list)).count() > 1 {
+            return Err("one of --directors, --purges and --held may be a list, and none may be empty".into());
+        }
+        if self.directors.contains(&0) || !(0.0..1.0).contains(&self.lost) {
+            return Err("a fleet has one director at least, and loses a share below 1".into());
+        }
+        let size = Size { directors: self.directors[0], purges: self.purges[0], held: self.held[0] };
+        Ok(if several(&self.purges) {
+            (Axis::Purges, self.purges.iter().map(|purges| Size { purges: *purges, ..size }).collect())
+        } else if several(&self.held) {
+            (Axis::Held, self.held.iter().map(|held| Size { held: *held, ..size }).collect())
+        } else {
+            (
+                Axis::Directors,
+                self.directors.iter().map(|directors| Size { directors: *directors, ..size }).collect(),
+            )
+        })
+    }
+}
+
+/// Runs all sizes with a progress bar, one after the other, and fits lines through what was measured.
+pub fn run(options: &Options, host: &Host) -> Result<Report, Failure> {
+    let (axis, sizes) = options.sizes()?;
+    let seconds = u64::from(options.warm_up + options.seconds + options.settle);
+    let bar = indicatif::ProgressBar::new(seconds * sizes.len() as u64);
+    bar.set_style(indicatif::ProgressStyle::with_template(
+        "{wide_bar} {pos}/{len} simulated s, {msg}, {elapsed}",
+    )?);
+    let mut measured: Vec<Measurement> = Vec::new();
+    for size in sizes {
+        bar.set_message(format!("{} directors", size.directors));
+        let measurement = Simulation::new(options, size, host).run(&bar);
+        let ended = measurement.ended;
+        measured.push(measurement);
+        if ended != Ended::Complete {
+            break;
+        }
+    }
+    bar.finish_and_clear();
+    Ok(Report::new(options.clone(), axis, measured))
+}
+
+/// Runs as the command does: interrupts end it cleanly, and the report is printed and written.
+pub fn command(options: &Options, allocated: fn() -> usize) -> Result<bool, Failure> {
+    let host = Host { allocated, interrupted: Arc::new(AtomicBool::new(false)) };
+    let flag = host.interrupted.clone();
+    std::thread::spawn(move || set_on_interrupt(&flag));
+    let report = run(options, &host)?;
+    print!("{}", report.text());
+    if let Some(file) = &options.json {
+        std::fs::write(file, serde_json::to_string_pretty(&report)?)?;
+    }
+    if let Some(file) = &options.html {
+        std::fs::write(file, report.page()?)?;
+    }
+    Ok(report.good())
+}
+
+/// Waits for an interrupt and sets the flag.
+fn set_on_interrupt(flag: &AtomicBool) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    // Without a runtime the signal ends the process, as it would anyway.
+    if runtime.is_ok_and(|runtime| runtime.block_on(crate::harness::interrupted()).is_ok()) {
+        flag.store(true, Ordering::Relaxed);
+    }
+}
--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`standin`] | one stand-in server on a socket, as a process or a task |
 //! | [`relay`] | a link between two processes, hurt and healed |
 //! | [`plan`] | a play of many processes as data: who takes part, what is asked, what goes wrong |
+//! | [`hollow`] | many directors in one process, over a simulated network in simulated time |
 //! | [`load`] | an open-loop load, and what comes back held against the rules |
 //! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
 //! | [`report`] | its figures as JSON, and one page with plots |
@@ -21,6 +22,7 @@
 
 pub mod fleet;
 pub mod harness;
+pub mod hollow;
 pub mod load;
 pub mod model;
 pub mod overhead;
--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -10,6 +10,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// What is allocated is counted: hollow directors' memory is told from it.
+#[global_allocator]
+static ALLOCATED: cap::Cap<std::alloc::System> = cap::Cap::new(std::alloc::System, usize::MAX);
+
 /// foxhold's laboratory.
 #[derive(Parser)]
 #[command(version, about)]
@@ -61,6 +65,9 @@
         #[arg(long)]
         json: Option<PathBuf>,
     },
+    /// Many directors in one process over a simulated network, without clients and servers: what control costs each,
+    /// and when purges are everywhere; exit 1 where one was not
+    Hollow(foxhold_lab::hollow::Options),
     /// Many processes of the director before stand-ins, with faults between them, by a plan in YAML
     Fleet {
         /// The plan; without one a calm play
@@ -176,6 +183,7 @@
             }
             Ok(played.missed == 0)
         }
+        Command::Hollow(options) => foxhold_lab::hollow::command(&options, || ALLOCATED.allocated()),
         Command::Overhead { daemon, requests, servers, objects, at_once } => {
             let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
             let parents = (servers / 10).max(1);
--- a/crates/foxhold-lab/src/report.rs
+++ b/crates/foxhold-lab/src/report.rs
@@ -287,7 +287,7 @@
     }
 }
 
-fn escape(text: &str) -> String {
+pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;")
 }
 
--- a/crates/foxhold-lab/src/talk_play.rs
+++ b/crates/foxhold-lab/src/talk_play.rs
@@ -27,9 +27,12 @@
     /// Words told, each to another director, one after the other
     #[arg(long, default_value_t = 20)]
     pub words: usize,
-    /// Seconds without a word, in which idle traffic is measured, and as many with ten words a second
+    /// Seconds without a word, in which idle traffic is measured, and as many with purges
     #[arg(long, default_value_t = 10)]
     pub seconds: u64,
+    /// Purges a second meanwhile
+    #[arg(long, default_value_t = 10)]
+    pub rate: u32,
     /// Seed of losses
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
@@ -76,7 +79,7 @@
     pub missed: usize,
     /// Without a word.
     pub idle: Cost,
-    /// With ten words a second.
+    /// With purges, at the rate that was asked for.
     pub busy: Cost,
     /// MB of a director at the end.
     pub memory_mb: f64,
@@ -295,8 +298,8 @@
         sleep(Duration::from_millis(100)).await;
     }
     let meter = Meter::read(&fleet);
-    for n in 0..play.seconds * 10 {
-        let due = meter.at + Duration::from_millis(100) * (n as u32 + 1);
+    for n in 0..play.seconds * u64::from(play.rate) {
+        let due = meter.at + Duration::from_secs(1) * (n as u32 + 1) / play.rate;
         fleet.ask((n as usize * 11) % fleet.len(), &format!("purge group {n}")).await?;
         tokio::time::sleep_until(due.into()).await;
     }
--- a/src/peers/members.rs
+++ b/src/peers/members.rs
@@ -4,10 +4,10 @@
 //! returns under its address is the same member. Two that answer under one name at different addresses are
 //! named by all, themselves among them ([`Members::twins`]).
 
+use foca::PostcardCodec;
 use foca::{
     AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification, PeriodicParams,
 };
-use foca::{PostcardCodec, Timer};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
@@ -31,6 +31,9 @@
 /// A message of the protocol, in bytes.
 const LARGEST: usize = 1_200;
 
+/// A timer of the protocol: given back when it rings.
+pub type Timer = foca::Timer<Member>;
+
 /// A director, as others know it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Member {
@@ -76,7 +79,7 @@
     /// Messages to send.
     pub send: Vec<(SocketAddr, Vec<u8>)>,
     /// Timers to give back after so long.
-    pub timers: Vec<(Duration, Timer<Member>)>,
+    pub timers: Vec<(Duration, Timer)>,
     /// What changed, in words for the log.
     pub changes: Vec<String>,
 }
@@ -127,6 +130,13 @@
         gone.map(|m| m.id().clone()).collect()
     }
 
+    /// These are there, as if all had long heard of each other: nothing of it is told on. For a fleet that is
+    /// started in its steady state.
+    pub fn know(&mut self, others: impl Iterator<Item = Member>) -> Due {
+        let done = self.foca.apply_many(others.map(foca::Member::alive), false, &mut self.runtime);
+        self.due(done)
+    }
+
     /// Says to whoever is at an address that this director is here.
     pub fn announce(&mut self, address: SocketAddr) -> Due {
         let whoever = Member::new("", address, 0);
@@ -141,7 +151,7 @@
     }
 
     /// A timer rang.
-    pub fn rang(&mut self, timer: Timer<Member>) -> Due {
+    pub fn rang(&mut self, timer: Timer) -> Due {
         let done = self.foca.handle_timer(timer, &mut self.runtime);
         self.due(done)
     }
@@ -199,7 +209,7 @@
     /// Members whose messages arrive at once, and whose timers ring in order of time.
     struct Net {
         all: BTreeMap<SocketAddr, Members>,
-        timers: Vec<(Duration, SocketAddr, Timer<Member>)>,
+        timers: Vec<(Duration, SocketAddr, Timer)>,
         now: Duration,
         log: Vec<String>,
     }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -35,14 +35,15 @@
 use tokio::time::{interval, Instant, MissedTickBehavior};
 
 /// The actor's pace: rumours wait for this at most, and gather.
-const TICK: Duration = Duration::from_millis(20);
+pub const TICK: Duration = Duration::from_millis(20);
 /// Seeds that are not among the members are told of this director every so often.
-const SEEDS: Duration = Duration::from_secs(1);
+pub const SEEDS: Duration = Duration::from_secs(1);
 /// While a director still hears of members that it had not known it asks some for theirs, this often.
-const MEET: Duration = Duration::from_millis(250);
-const MEET_ASK: usize = 2;
+pub const MEET: Duration = Duration::from_millis(250);
+/// See [`MEET`].
+pub const MEET_ASK: usize = 2;
 /// Members that speak and are not known are greeted, one in so long.
-const GREETING: Duration = Duration::from_millis(100);
+pub const GREETING: Duration = Duration::from_millis(100);
 /// Changes are written to the disk every so often, and the time at least.
 const WRITE: Duration = Duration::from_millis(200);
 const WRITE_TIME: Duration = Duration::from_secs(5);
@@ -58,7 +59,7 @@
 /// Datagrams taken one after the other before anything else is looked at.
 const IN_A_ROW: usize = 4;
 /// Senders whose numbers are remembered.
-const SENDERS: usize = 4096;
+pub const SENDERS: usize = 4096;
 
 /// What the actor is told by this process.
 #[derive(Debug)]
