Tell how many hollow directors still caught up, and bench a decision at 1,900 servers

Change: the report names directors that catch up when measuring begins; single runs print no fits; the bench decide has the planned number of servers.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -1,4 +1,4 @@
-//! What one decision costs: a request put to the module and its attempt ended, before fleets of three sizes.
+//! What one decision costs: a request put to the module and its attempt ended, before fleets of four sizes.
 
 #[path = "../tests/standin/mod.rs"]
 mod standin;
@@ -89,7 +89,7 @@
 
 fn decisions(c: &mut Criterion) {
     let mut group = c.benchmark_group("decision");
-    for servers in [20, 200, 2_000] {
+    for servers in [20, 200, 1_900, 2_000] {
         for objects in [1_000, 100_000] {
             let mut router = Router::new(settings(), 7).expect("good settings");
             let mut out = Vec::new();
--- a/crates/foxhold-lab/src/hollow/measurement.rs
+++ b/crates/foxhold-lab/src/hollow/measurement.rs
@@ -131,6 +131,8 @@
     pub held: u32,
     /// How the run ended.
     pub ended: Ended,
+    /// Directors that still caught up when measuring began: with any, the figures are not those of a steady fleet.
+    pub catching_up: usize,
     /// Simulated seconds that were measured.
     pub seconds: f64,
     /// Bytes that arrived, with headers.
--- a/crates/foxhold-lab/src/hollow/report.rs
+++ b/crates/foxhold-lab/src/hollow/report.rs
@@ -117,7 +117,8 @@
     /// The figures in some lines.
     pub fn text(&self) -> String {
         let runs: String = self.measured.iter().map(run_text).collect();
-        let lines: String = self.lines.iter().map(|line| line.text(self.axis)).collect();
+        let several = self.measured.len() > 1;
+        let lines: String = self.lines.iter().filter(|_| several).map(|line| line.text(self.axis)).collect();
         format!("{:?}, seed {}\n{runs}{lines}", self.options.scenario, self.options.seed)
     }
 
@@ -175,8 +176,12 @@
 fn run_text(run: &Measurement) -> String {
     let healed =
         run.healed_ms.map_or(String::new(), |ms| format!("; all told before the heal {ms:.0} ms after it"));
+    let catching_up = match run.catching_up {
+        0 => String::new(),
+        some => format!(", {some} STILL CAUGHT UP when measuring began"),
+    };
     format!(
-        "{} directors, {} purges/s, {} held: {:?}; in {:.0} B/s in {:.1} datagrams ({:.0} B/s without headers), out \
+        "{} directors, {} purges/s, {} held: {:?}{catching_up}; in {:.0} B/s in {:.1} datagrams ({:.0} B/s without headers), out \
          {:.0} B/s in {:.1}, busiest {:.0} B/s both ways, {:.1}% between regions\n  processor {:.3}%, longest handler \
          {:.2} ms, memory {:.2} MB, {:.0} entries of {:.0} B; to all p50 {:.0} p99 {:.0} p99.9 {:.0} max {:.0} ms of {}, \
          to each p50 {:.0} p99.9 {:.0} ms; missed {}{healed}; {} events, {:.1} s\n",
--- a/crates/foxhold-lab/src/hollow/simulation.rs
+++ b/crates/foxhold-lab/src/hollow/simulation.rs
@@ -68,6 +68,7 @@
     to_each: Histogram<u64>,
     healed: Option<Micros>,
     events: u64,
+    catching_up: usize,
 }
 
 /// The run.
@@ -104,6 +105,7 @@
             to_each: times_histogram(),
             healed: None,
             events: 0,
+            catching_up: 0,
         };
         Simulation {
             options,
@@ -127,6 +129,7 @@
         self.start_all();
         self.schedule(0, Event::Purge);
         self.until(warm_up, bar);
+        self.notes.catching_up = self.running().filter(|director| director.catches_up()).count();
         self.notes.spent.fill(Spent::default());
         (self.notes.crossed, self.notes.longest_handler_ns) = (0, 0);
         let measured_from = self.notes.purges.len();
@@ -330,10 +333,14 @@
 
     // ---- the end ----
 
+    fn running(&self) -> impl Iterator<Item = &Director> {
+        self.slots.iter().filter_map(|slot| slot.director.as_deref())
+    }
+
     fn missed(&self, measured_from: usize) -> usize {
         let lacks = |purge: &usize| {
             let key = self.notes.form.key(*purge);
-            self.slots.iter().filter_map(|slot| slot.director.as_ref()).any(|d| d.state().get(&key).is_none())
+            self.running().any(|director| director.state().get(&key).is_none())
         };
         (measured_from..self.notes.purges.len()).filter(lacks).count()
     }
@@ -341,7 +348,7 @@
     fn finish(mut self, means: &Means, crossed: u64, measured_from: usize) -> Measurement {
         self.clock.clear();
         let allocated = (self.host.allocated)().saturating_sub(self.allocated_before) as f64;
-        let running: Vec<&Director> = self.slots.iter().filter_map(|slot| slot.director.as_deref()).collect();
+        let running: Vec<&Director> = self.running().collect();
         let per = running.len().max(1) as f64;
         let purges = self.notes.purges.get(measured_from..).unwrap_or_default();
         let heal = self.notes.healed;
@@ -352,6 +359,7 @@
             purges: self.options.scenario.purges(self.size.purges),
             held: self.size.held,
             ended: self.ended.unwrap_or(Ended::Complete),
+            catching_up: self.notes.catching_up,
             seconds: 0.0,
             bytes_in: 0.0,
             bytes_out: 0.0,
--- a/crates/foxhold-lab/tests/hollow.rs
+++ b/crates/foxhold-lab/tests/hollow.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 #[derive(Parser)]
+#[command(args_override_self = true)]
 struct Arguments {
     #[command(flatten)]
     options: Options,
@@ -97,6 +98,17 @@
     }
 }
 
+#[test]
+fn a_run_tells_how_many_still_caught_up_when_measuring_began() {
+    assert_eq!(one("--directors 6 --purges 20").catching_up, 0);
+    assert_eq!(
+        one("--directors 6 --purges 20 --warm-up 1").catching_up,
+        6,
+        "nobody is sure before three seconds"
+    );
+    assert_eq!(one("--directors 6 --purges 20 --held 20000").catching_up, 6, "a pass over all takes longer");
+}
+
 #[test]
 fn a_cut_holds_in_its_direction_alone_until_it_is_healed() {
     let topology = Topology { regions: 2, zones: 4, sites: 8 };
