--- a/crates/foxhold-lab/src/hollow/measurement.rs
+++ b/crates/foxhold-lab/src/hollow/measurement.rs
@@ -163,7 +163,7 @@
     pub to_all: Times,
     /// From a purge told until each of the others held it.
     pub to_each: Times,
-    /// Purges that some running director did not hold at the end.
+    /// Purges that some running director did not hold at the end, but for those that are no longer kept by then.
     pub missed: usize,
     /// From the end of a cut until the last purge told before was everywhere, in milliseconds; none: no cut.
     pub healed_ms: Option<f64>,
--- a/crates/foxhold-lab/src/hollow/simulation.rs
+++ b/crates/foxhold-lab/src/hollow/simulation.rs
@@ -337,12 +337,17 @@
         self.slots.iter().filter_map(|slot| slot.director.as_deref())
     }
 
+    /// Measured purges that some running director lacks, but for those that are no longer kept.
     fn missed(&self, measured_from: usize) -> usize {
+        let Some(kept) = self.running().next().map(|director| director.state().bounds().purges_kept) else {
+            return 0;
+        };
         let lacks = |purge: &usize| {
             let key = self.notes.form.key(*purge);
             self.running().any(|director| director.state().get(&key).is_none())
         };
-        (measured_from..self.notes.purges.len()).filter(lacks).count()
+        let over = |purge: &usize| self.notes.purges[*purge].told + kept <= self.clock.now();
+        (measured_from..self.notes.purges.len()).filter(|purge| !over(purge)).filter(lacks).count()
     }
 
     fn finish(mut self, means: &Means, crossed: u64, measured_from: usize) -> Measurement {
--- a/crates/foxhold-lab/tests/hollow.rs
+++ b/crates/foxhold-lab/tests/hollow.rs
@@ -98,6 +98,13 @@
     }
 }
 
+#[test]
+fn a_purge_that_is_no_longer_kept_is_not_missed() {
+    let run = one("--directors 2 --purges 1 --seconds 620");
+    assert_eq!((run.ended, run.missed, run.to_all.count), (Ended::Complete, 0, 620), "{run:?}");
+    assert!(run.entries < 620.0, "purges are kept for 600 s: {run:?}");
+}
+
 #[test]
 fn a_run_tells_how_many_still_caught_up_when_measuring_began() {
     assert_eq!(one("--directors 6 --purges 20").catching_up, 0);
