--- /dev/null
+++ b/crates/foxhold-lab/src/command/hollow.rs
@@ -0,0 +1,34 @@
+//! `hollow`: many directors in one process, over a simulated network.
+
+use foxhold_lab::harness::interrupted;
+pub use foxhold_lab::hollow::Options;
+use foxhold_lab::hollow::{self, Host};
+use foxhold_lab::replay::Failure;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// Runs all sizes, and prints and writes the report; whether every run was complete and no purge was missed. An
+/// interrupt ends it with what was measured until then.
+pub fn run(options: &Options, allocated: fn() -> usize) -> Result<bool, Failure> {
+    let host = Host { allocated, interrupted: Arc::new(AtomicBool::new(false)) };
+    let flag = host.interrupted.clone();
+    std::thread::spawn(move || set_on_interrupt(&flag));
+    let report = hollow::run(options, &host)?;
+    print!("{}", report.text());
+    if let Some(file) = &options.json {
+        std::fs::write(file, serde_json::to_string_pretty(&report)?)?;
+    }
+    if let Some(file) = &options.html {
+        std::fs::write(file, report.page()?)?;
+    }
+    Ok(report.good())
+}
+
+/// Waits for an interrupt and sets the flag.
+fn set_on_interrupt(flag: &AtomicBool) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    // Without a runtime the signal ends the process, as it would anyway.
+    if runtime.is_ok_and(|runtime| runtime.block_on(interrupted()).is_ok()) {
+        flag.store(true, Ordering::Relaxed);
+    }
+}
--- a/crates/foxhold-lab/src/hollow/director.rs
+++ b/crates/foxhold-lab/src/hollow/director.rs
@@ -3,8 +3,10 @@
 
 use foxhold::api::Micros;
 use foxhold::peers::frame::{Body, Message, Seal};
-use foxhold::peers::members::{Due, Member, Members, Timer};
-use foxhold::peers::{GREETING, MEET, MEET_ASK, SEEDS, SENDERS};
+use foxhold::peers::members::{Member, Members, ProtocolOutput, Timer};
+use foxhold::peers::{
+    DISCOVERY_FANOUT, DISCOVERY_INTERVAL, GREETING_INTERVAL, REMEMBERED_SENDERS, SEED_INTERVAL,
+};
 use foxhold::replica::fresh::Fresh;
 use foxhold::replica::state::{Bounds, Now, State};
 use foxhold::replica::talk::{Say, Stage, Talk};
@@ -58,12 +60,12 @@
     members: Members,
     talk: Talk<SocketAddr>,
     fresh: Fresh<SocketAddr>,
-    heard: HashMap<SocketAddr, Micros>,
-    there: HashSet<Member>,
+    last_received: HashMap<SocketAddr, Micros>,
+    known: HashSet<Member>,
     next_greeting: Micros,
     next_seeds: Micros,
-    next_meet: Micros,
-    met: usize,
+    next_discovery: Micros,
+    peers_known: usize,
     random: StdRng,
 }
 
@@ -81,13 +83,13 @@
             seal,
             members,
             talk,
-            fresh: Fresh::new(SENDERS),
-            heard: HashMap::new(),
-            there: HashSet::new(),
+            fresh: Fresh::new(REMEMBERED_SENDERS),
+            last_received: HashMap::new(),
+            known: HashSet::new(),
             next_greeting: now.steady,
             next_seeds: now.steady,
-            next_meet: now.steady,
-            met: 0,
+            next_discovery: now.steady,
+            peers_known: 0,
             random,
         }
     }
@@ -95,9 +97,9 @@
     /// Takes others for known, as in a fleet that has long been up.
     pub fn know(&mut self, others: impl Iterator<Item = Member>) -> Output {
         let mut output = Output::default();
-        let due = self.members.know(others);
-        self.due(due, &mut output);
-        self.met = self.talk.peers().len();
+        let asked = self.members.know(others);
+        self.apply_membership(asked, &mut output);
+        self.peers_known = self.talk.peers().len();
         output
     }
 
@@ -127,13 +129,13 @@
         let mut output = Output::default();
         self.converse(now, &mut output);
         if now.steady >= self.next_seeds {
-            self.next_seeds =
-                now.steady + (SEEDS.as_micros() as f64 * self.random.random_range(0.5..1.5)) as Micros;
+            self.next_seeds = now.steady
+                + (SEED_INTERVAL.as_micros() as f64 * self.random.random_range(0.5..1.5)) as Micros;
             self.look_for_seeds(&mut output);
         }
-        if now.steady >= self.next_meet {
-            self.next_meet = now.steady + MEET.as_micros() as Micros;
-            self.meet(&mut output);
+        if now.steady >= self.next_discovery {
+            self.next_discovery = now.steady + DISCOVERY_INTERVAL.as_micros() as Micros;
+            self.discover(&mut output);
         }
         output
     }
@@ -145,26 +147,26 @@
     }
 
     fn look_for_seeds(&mut self, output: &mut Output) {
-        let there: BTreeSet<SocketAddr> = self.members.others().iter().map(|m| m.address).collect();
+        let there: BTreeSet<SocketAddr> = self.members.peers().iter().map(|m| m.address).collect();
         let seeds = (0..SEED_DIRECTORS).filter(|seed| *seed != self.me).map(address);
         let missing: Vec<SocketAddr> = seeds.filter(|seed| !there.contains(seed)).collect();
         for seed in missing {
-            let due = self.members.announce(seed);
-            self.due(due, output);
+            let asked = self.members.announce(seed);
+            self.apply_membership(asked, output);
         }
         // The actor looks at the names of all members here.
-        let _twins = self.members.twins();
+        let _duplicates = self.members.duplicate_names();
     }
 
-    fn meet(&mut self, output: &mut Output) {
+    fn discover(&mut self, output: &mut Output) {
         let others = self.talk.peers().to_vec();
-        if others.len() <= std::mem::replace(&mut self.met, others.len()) {
+        if others.len() <= std::mem::replace(&mut self.peers_known, others.len()) {
             return;
         }
-        for _ in 0..MEET_ASK {
+        for _ in 0..DISCOVERY_FANOUT {
             let one = others[self.random.random_range(0..others.len())];
-            let due = self.members.announce(one);
-            self.due(due, output);
+            let asked = self.members.announce(one);
+            self.apply_membership(asked, output);
         }
     }
 
@@ -181,8 +183,8 @@
     /// A timer rang.
     pub fn rang(&mut self, timer: Timer) -> Output {
         let mut output = Output::default();
-        let due = self.members.rang(timer);
-        self.due(due, &mut output);
+        let asked = self.members.handle_timer(timer);
+        self.apply_membership(asked, &mut output);
         output
     }
 
@@ -194,16 +196,16 @@
         if from == address(self.me) || !self.fresh.take(&from, message.run, message.number) {
             return output;
         }
-        self.heard.insert(from, now.steady);
-        if now.steady >= self.next_greeting && !self.there.contains(&message.from) {
-            self.next_greeting = now.steady + GREETING.as_micros() as Micros;
-            let due = self.members.announce(from);
-            self.due(due, &mut output);
+        self.last_received.insert(from, now.steady);
+        if now.steady >= self.next_greeting && !self.known.contains(&message.from) {
+            self.next_greeting = now.steady + GREETING_INTERVAL.as_micros() as Micros;
+            let asked = self.members.announce(from);
+            self.apply_membership(asked, &mut output);
         }
         match message.body {
             Body::Swim(bytes) => {
-                let due = self.members.heard(&bytes);
-                self.due(due, &mut output);
+                let asked = self.members.handle_message(&bytes);
+                self.apply_membership(asked, &mut output);
             }
             Body::Say(say) => {
                 let mut said = Vec::new();
@@ -221,25 +223,25 @@
         output.learned.extend(self.talk.news().into_iter().map(|news| news.key));
     }
 
-    fn due(&mut self, due: Due, output: &mut Output) {
-        for (to, bytes) in due.send {
+    fn apply_membership(&mut self, asked: ProtocolOutput, output: &mut Output) {
+        for (to, bytes) in asked.messages {
             self.send(to, Body::Swim(bytes), output);
         }
-        let timers = due.timers.into_iter();
+        let timers = asked.timers.into_iter();
         output.timers.extend(timers.map(|(after, timer)| (after.as_micros() as Micros, timer)));
-        if due.changes.is_empty() {
+        if asked.changes.is_empty() {
             return;
         }
-        self.there = self.members.others().into_iter().collect();
-        let others: Vec<SocketAddr> = self.there.iter().map(|m| m.address).collect();
+        self.known = self.members.peers().into_iter().collect();
+        let others: Vec<SocketAddr> = self.known.iter().map(|m| m.address).collect();
         let dead: BTreeSet<SocketAddr> = self.members.dead().into_iter().map(|m| m.address).collect();
-        self.heard.retain(|address, _| others.contains(address) || dead.contains(address));
+        self.last_received.retain(|address, _| others.contains(address) || dead.contains(address));
         self.talk.members(sorted(others));
     }
 
     fn send(&mut self, to: SocketAddr, body: Body, output: &mut Output) {
         self.sent += 1;
-        let from = self.members.me().clone();
+        let from = self.members.local().clone();
         let message = Message { from, run: self.run, number: self.sent, body };
         if let (Some(datagram), Some(to)) = (self.seal.seal(&message), number(&to)) {
             output.datagrams.push((to, datagram));
--- a/crates/foxhold-lab/src/hollow/mod.rs
+++ b/crates/foxhold-lab/src/hollow/mod.rs
@@ -31,7 +31,7 @@
 use scenario::Scenario;
 use simulation::{Ended, Simulation};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
 /// What is simulated. One of directors, purges and held entries may be a list: figures are fitted over it.
@@ -161,28 +161,3 @@
     bar.finish_and_clear();
     Ok(Report::new(options.clone(), axis, measured))
 }
-
-/// Runs as the command does: interrupts end it cleanly, and the report is printed and written.
-pub fn command(options: &Options, allocated: fn() -> usize) -> Result<bool, Failure> {
-    let host = Host { allocated, interrupted: Arc::new(AtomicBool::new(false)) };
-    let flag = host.interrupted.clone();
-    std::thread::spawn(move || set_on_interrupt(&flag));
-    let report = run(options, &host)?;
-    print!("{}", report.text());
-    if let Some(file) = &options.json {
-        std::fs::write(file, serde_json::to_string_pretty(&report)?)?;
-    }
-    if let Some(file) = &options.html {
-        std::fs::write(file, report.page()?)?;
-    }
-    Ok(report.good())
-}
-
-/// Waits for an interrupt and sets the flag.
-fn set_on_interrupt(flag: &AtomicBool) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    // Without a runtime the signal ends the process, as it would anyway.
-    if runtime.is_ok_and(|runtime| runtime.block_on(crate::harness::interrupted()).is_ok()) {
-        flag.store(true, Ordering::Relaxed);
-    }
-}
