Hold thirty routers' sum on cold servers to the budget in 50 drawn runs, simulated

Cause: a cold server falls under what all processes send together; tests looked at bare limits of fleets with one size of request, all told at once. Change: a simulation without sockets of 20 to 30 decision modules: a server comes back cold and one joins, traffic doubles, a fifth of the routers starts late and a fifth is replaced, the list is told up to 2 s late, one in five sees five times the traffic, half of the sites have sizes that differ twenty fold; attempts turned away, failed and joined count, probes do not. Caches and parents, 3 to 10 mean requests in the budget or 100.

Nothing in the module changed.

--- /dev/null
+++ b/tests/slow_start.rs
@@ -0,0 +1,174 @@
+//! Cold servers under the sum of what thirty routers send, in drawn runs against simulated time.
+
+#[path = "slow_start/budget.rs"]
+mod budget;
+mod common;
+#[path = "slow_start/simulation.rs"]
+mod simulation;
+
+use budget::{ColdServer, Worst};
+use foxhold::ColdRule;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use simulation::{Fleet, Mix, Role, Site, SECOND};
+use std::sync::OnceLock;
+
+const RUNS: u64 = 50;
+
+/// A site drawn from a seed: its rule, classes, load and the number of its routers.
+fn drawn(role: Role, few: bool, seed: u64) -> Site {
+    let mut random = StdRng::seed_from_u64(seed);
+    let rule = ColdRule {
+        floor: random.random_range(0.1..0.25),
+        warm_within: random.random_range(10..=18) * SECOND,
+        multiple: random.random_range(1.8..3.0),
+        window: random.random_range(1..=3) * SECOND,
+    };
+    let work = random.random_range(0.02e6..0.2e6);
+    let mix = |share, work, write| Mix { share, work, write };
+    // Every other site has sizes that differ twenty fold.
+    let classes = if seed.is_multiple_of(2) {
+        vec![mix(0.7, work, false), mix(0.3, 2.0 * work, false)]
+    } else {
+        vec![mix(0.35, 0.02e6, true), mix(0.35, 0.1e6, false), mix(0.3, 0.4e6, false)]
+    };
+    let allowed = if few { random.random_range(3.0..10.0) } else { 100.0 };
+    let site = Site {
+        role,
+        routers: random.random_range(20..=30),
+        classes,
+        rule,
+        size: 1.0,
+        load: random.random_range(0.8..1.6),
+        hits: random.random_range(0.3..0.8),
+        told: true,
+        direct: seed % 4 < 2,
+        seed,
+    };
+    site.sized(allowed)
+}
+
+/// What was sent, in mean requests, of what could be borne.
+#[derive(Clone, Copy, Debug, Default)]
+struct Used {
+    sent: f64,
+    bearable: f64,
+}
+
+impl Used {
+    /// What came to a server, held against what it would be asked were it warm and a multiple of its
+    /// capacity.
+    fn of(cold: &ColdServer, asked: &ColdServer, multiple: f64) -> Used {
+        let bearable = cold.bearable(&asked.windows(), multiple);
+        let sent = cold.windows().iter().zip(&bearable).map(|(sent, bears)| sent.min(*bears)).sum();
+        Used { sent, bearable: bearable.iter().sum() }
+    }
+
+    fn plus(self, other: Used) -> Used {
+        Used { sent: self.sent + other.sent, bearable: self.bearable + other.bearable }
+    }
+
+    fn share(self) -> f64 {
+        self.sent / self.bearable
+    }
+}
+
+/// All runs of one kind of site.
+#[derive(Debug, Default)]
+struct Summary {
+    /// The window that came nearest to a fall.
+    worst: Worst,
+    falls: usize,
+    /// What was used of the budget, and of what such a server can do.
+    budget: Used,
+    capacity: Used,
+    /// The least share of the capacity that was used in one run.
+    least: f64,
+}
+
+fn summary(role: Role, few: bool) -> Summary {
+    let mut summary = Summary { least: f64::INFINITY, ..Summary::default() };
+    for seed in 0..RUNS {
+        let site = drawn(role, few, seed);
+        let fleet = Fleet::play(&site);
+        let open = Fleet::play(&Site { told: false, ..site.clone() });
+        let mut run = Used::default();
+        for (id, cold) in &fleet.cold {
+            let worst = cold.worst();
+            summary.falls += usize::from(worst.margin < 0.0);
+            if worst.ratio > summary.worst.ratio {
+                summary.worst = worst;
+            }
+            let asked = &open.cold[id];
+            summary.budget = summary.budget.plus(Used::of(cold, asked, site.rule.multiple));
+            run = run.plus(Used::of(cold, asked, 1.0));
+        }
+        summary.capacity = summary.capacity.plus(run);
+        summary.least = summary.least.min(run.share());
+    }
+    println!(
+        "{role:?}, few {few}: {} falls, worst window {:.2} of a fall ({:?}); used {:.2} of the budget, \
+         {:.2} of the capacity, {:.2} in the least run",
+        summary.falls,
+        summary.worst.ratio,
+        summary.worst,
+        summary.budget.share(),
+        summary.capacity.share(),
+        summary.least
+    );
+    summary
+}
+
+/// The runs of a kind of site, played once for all tests.
+fn played(role: Role, few: bool) -> &'static Summary {
+    static PLAYED: [OnceLock<Summary>; 4] = [const { OnceLock::new() }; 4];
+    PLAYED[usize::from(role == Role::Parent) * 2 + usize::from(few)].get_or_init(|| summary(role, few))
+}
+
+/// Nothing falls, and a server that starts gets at least half of the work that it can do.
+fn holds(role: Role, few: bool) {
+    let summary = played(role, few);
+    assert_eq!(summary.falls, 0, "{summary:?}");
+    assert!(summary.capacity.share() >= 0.5, "{summary:?}");
+}
+
+#[test]
+fn caches_with_few_transfers_in_their_budget_do_not_fall_and_are_used() {
+    holds(Role::Cache, true);
+}
+
+#[test]
+fn caches_with_many_transfers_in_their_budget_do_not_fall_and_are_used() {
+    holds(Role::Cache, false);
+}
+
+#[test]
+fn parents_with_few_transfers_in_their_budget_do_not_fall_and_are_used() {
+    holds(Role::Parent, true);
+}
+
+#[test]
+fn parents_with_many_transfers_in_their_budget_do_not_fall_and_are_used() {
+    holds(Role::Parent, false);
+}
+
+/// The same against the whole budget, which is a multiple of what the server can do.
+#[test]
+fn a_cold_server_gets_half_of_its_budget_where_so_much_is_asked() {
+    for (role, few) in
+        [(Role::Cache, true), (Role::Cache, false), (Role::Parent, true), (Role::Parent, false)]
+    {
+        let share = played(role, few).budget.share();
+        assert!(share >= 0.5, "{role:?}, few {few}: {share:.2} of the budget");
+    }
+}
+
+/// The check of the tests above finds routers that know of no start.
+#[test]
+fn a_fleet_that_takes_cold_servers_for_warm_is_found() {
+    let falls = (0..RUNS / 5).filter(|seed| {
+        let fleet = Fleet::play(&Site { told: false, ..drawn(Role::Cache, true, *seed) });
+        fleet.cold.values().any(|cold| cold.worst().margin < 0.0)
+    });
+    assert!(falls.count() >= 5);
+}
