--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
 //! | [`report`] | its figures as JSON, and one page with plots |
 //! | [`storm`] | a play of drawn faults among directors that talk |
+//! | [`cold`] | the budget of a server that started cold, over all who send to it |
 //! | [`talk`] | directors that talk among themselves, and the ways between them |
 //! | [`talk_play`] | what their talk costs, and how fast a word is with all |
 //! | [`fleet`] | stand-in caches, parents, origin and notice board within this process |
@@ -19,6 +20,7 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod cold;
 pub mod fleet;
 pub mod harness;
 pub mod load;
--- a/crates/foxhold-lab/src/plan.rs
+++ b/crates/foxhold-lab/src/plan.rs
@@ -95,6 +95,8 @@
 pub enum What {
     /// SIGKILL; started again when it is over, cold and empty.
     Kill,
+    /// Not there before: a server starts cold and is listed then, a director starts then.
+    Join,
     /// SIGSTOP; SIGCONT when it is over.
     Stall,
     /// A link hurt.
@@ -129,6 +131,8 @@
     Twice,
     /// It says of each fill that it has the bytes of another object.
     OtherBytes,
+    /// It starts anew, cold and empty, and the list does not tell.
+    SecretRestart,
 }
 
 /// All of a play.
@@ -167,6 +171,8 @@
     pub often_part: f64,
     /// See `often_part`.
     pub often: f64,
+    /// Each director hears of the list up to so many seconds late, always the same.
+    pub list_late: f64,
     /// Directors talk among themselves.
     pub peers: bool,
     /// The classes.
@@ -205,6 +211,7 @@
             origin_rate: 400.0,
             often_part: 0.0,
             often: 1.0,
+            list_late: 0.0,
             peers: false,
             classes: vec![
                 class("page-bits", 0.97, 40.0, 250.0, 3_000.0, false),
@@ -259,6 +266,7 @@
             ("uneven", (0.0..1.0).contains(&self.uneven)),
             ("parent_link", self.parent_link > 0.0),
             ("origin_rate", self.origin_rate > 0.0),
+            ("list_late", (0.0..=10.0).contains(&self.list_late)),
             ("often_part", (0.0..=1.0).contains(&self.often_part)),
             ("classes", !self.classes.is_empty() && self.classes.iter().all(|c| c.share >= 0.0)),
         ] {
@@ -274,6 +282,7 @@
             let named = matches!(
                 fault.what,
                 What::Kill
+                    | What::Join
                     | What::Stall
                     | What::Drain
                     | What::Undrain
--- a/crates/foxhold-lab/src/report.rs
+++ b/crates/foxhold-lab/src/report.rs
@@ -1,5 +1,6 @@
 //! What a play showed: figures as JSON, and one HTML page with plots.
 
+use crate::cold::ColdUse;
 use crate::load::{Book, End};
 use crate::model::{Role, Spec};
 use crate::plan::{Plan, What};
@@ -74,6 +75,8 @@
     pub suspicions: usize,
     /// By server.
     pub load: BTreeMap<String, Load>,
+    /// By server that started cold: what came of its budget.
+    pub cold: BTreeMap<String, ColdUse>,
     /// By second: asked, served within the aim.
     pub service: Vec<(u64, u64)>,
     /// By tenth of a second of the load: most requests under way.
@@ -95,6 +98,7 @@
         let mut breaches = book.breaches;
         breaches.extend(seen.panics);
         let mut ran: HashMap<String, u32> = HashMap::new();
+        let mut cold: BTreeMap<String, ColdUse> = BTreeMap::new();
         for (name, note) in &seen.notes {
             match note {
                 Noted::Asked { ms, ask, full } => {
@@ -119,6 +123,7 @@
                 Noted::Drained(id) => {
                     breaches.push(format!("{name} got {id} over a second after it was told to drain"));
                 }
+                Noted::Cold(window) => cold.entry(name.clone()).or_default().add(window),
                 Noted::Listens(_) => {}
             }
         }
@@ -176,6 +181,7 @@
             service,
             in_flight: book.in_flight.get(settled..).unwrap_or_default().to_vec(),
             load,
+            cold,
             breaches,
         }
     }
@@ -203,6 +209,9 @@
             self.parent_fills,
             self.origin_fills,
         );
+        for (name, cold) in &self.cold {
+            text += &format!("  {name} while cold: {cold}\n");
+        }
         for breach in self.breaches.iter().take(10) {
             text += &format!("  BROKEN: {breach}\n");
         }
--- a/crates/foxhold-lab/src/standin.rs
+++ b/crates/foxhold-lab/src/standin.rs
@@ -4,6 +4,7 @@
 //! output) or as a task among others ([`crate::fleet`]). Fills go over sockets like all else, so that a relay may stand
 //! between any two servers. A fill's request carries `by`, the name of who asks, beside the platform's fields.
 
+use crate::cold::{Budget, ColdWindow};
 use crate::model::{size_kb, Held, Key, Link, Memory, Pressure, Role, Spec};
 use crate::plan::Breach;
 use serde::{Deserialize, Serialize};
@@ -73,6 +74,8 @@
         /// Whether it had started lately.
         cold: bool,
     },
+    /// It is cold, and so much came within the window that ends now.
+    Cold(ColdWindow),
     /// Something came over a second after it was told that it drains.
     Drained(String),
 }
@@ -141,6 +144,8 @@
 pub struct Kind {
     /// The class.
     pub name: String,
+    /// Its share of the requests.
+    pub share: f64,
     /// Mean size of its objects, in KB.
     pub mean_kb: f64,
     /// Runs at the origin and is not kept.
@@ -174,6 +179,8 @@
     link_changed: Notify,
     transfers: RefCell<HashMap<u64, oneshot::Sender<()>>>,
     pressure: RefCell<Pressure>,
+    /// What came since it started cold; none: it never did.
+    budget: RefCell<Option<Budget>>,
     stopped_until: Cell<Option<Instant>>,
     drained: Cell<Option<Instant>>,
     slow: Cell<f64>,
@@ -204,6 +211,13 @@
     }
 }
 
+/// The budget of a server that starts cold, counted in requests of the mean over all its classes.
+fn budget(start: &Start) -> Budget {
+    let shares: f64 = start.kinds.iter().map(|k| k.share).sum();
+    let work: f64 = start.kinds.iter().map(|k| k.share * start.spec.work(k.mean_kb)).sum();
+    Budget::new(work / shares.max(1e-9))
+}
+
 /// Runs a server until it falls over or its teller goes: `told` is what it is told, `tell` hears of it. Needs a
 /// `LocalSet`.
 pub async fn run(start: Start, mut told: mpsc::UnboundedReceiver<Told>, tell: Tell) -> std::io::Result<()> {
@@ -214,12 +228,12 @@
     let server = Rc::new(Server {
         begun: now,
         cold_since: Cell::new(start.cold.then_some(now)),
-        start,
         memory: RefCell::default(),
         link: RefCell::default(),
         link_changed: Notify::new(),
         transfers: RefCell::default(),
         pressure: RefCell::default(),
+        budget: RefCell::new(start.cold.then(|| budget(&start))),
         stopped_until: Cell::new(None),
         drained: Cell::new(None),
         slow: Cell::new(1.0),
@@ -231,6 +245,7 @@
         sources: RefCell::default(),
         joined: RefCell::default(),
         tell,
+        start,
     });
     let drive = Rc::clone(&server);
     let mut drivers = JoinSet::new();
@@ -296,6 +311,7 @@
     fn empty(&self) {
         *self.memory.borrow_mut() = Memory::default();
         self.cold_since.set(Some(Instant::now()));
+        *self.budget.borrow_mut() = Some(budget(&self.start));
     }
 
     fn told(&self, word: Told) {
@@ -305,6 +321,7 @@
             Told::Undrain => self.drained.set(None),
             Told::Slow(times) => self.slow.set(times.max(1e-3)),
             Told::Delay(seconds) => self.delay.set(seconds),
+            Told::Plant(Breach::SecretRestart) => self.empty(),
             Told::Plant(breach) => self.planted.set(Some(breach)),
             Told::Purge { .. } if self.planted.get() == Some(Breach::OldCopy) => {}
             Told::Purge { object, groups, ms } => {
@@ -433,7 +450,9 @@
         }
         // What caches ask is work of its size; of a cache each attempt counts at the mean, served or not.
         let weighs = if spec.role == Role::Cache { spec.work(mean) } else { spec.work(kb) };
-        if self.pressure.borrow_mut().push(self.now(), weighs, self.warmth(), spec) {
+        let overrun = self.pressure.borrow_mut().push(self.now(), weighs, self.warmth(), spec);
+        // A warm server is pushed over by the plain limit, a cold one by what the page reckons.
+        if self.counts_as_cold(weighs).unwrap_or(overrun) {
             self.falls(fell);
         }
         if self.stopped_until.get().is_some_and(|until| Instant::now() < until) {
@@ -479,6 +498,16 @@
         (any || unix_ms().saturating_sub(held.minted) <= ask.fresh).then_some(held)
     }
 
+    /// Whether work that comes to a cold server pushes it over; none: it is warm.
+    fn counts_as_cold(&self, work: f64) -> Option<bool> {
+        let warmth = self.warmth();
+        let mut budget = self.budget.borrow_mut();
+        let budget = budget.as_mut().filter(|_| warmth < 1.0 && self.start.spec.role != Role::Origin)?;
+        let window = budget.push(self.now(), work, warmth, &self.start.spec);
+        let _ = self.tell.send(Noted::Cold(window));
+        Some(window.share() > 1.0)
+    }
+
     fn falls(&self, fell: &mpsc::UnboundedSender<()>) {
         let spec = &self.start.spec;
         if self.stopped_until.get().is_some_and(|until| Instant::now() < until) {
