--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
 //! | [`report`] | its figures as JSON, and one page with plots |
 //! | [`storm`] | a play of drawn faults among directors that talk |
+//! | [`cold`] | the budget of a server that started cold, over all who send to it |
 //! | [`peer_network`] | the relays between directors that share state, and the paths between them |
 //! | [`talk`] | a fleet of such directors, as processes |
 //! | [`peer_scenario`] | what that costs them, and how fast an update is with all |
@@ -23,6 +24,7 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod cold;
 pub mod fleet;
 pub mod harness;
 pub mod hollow;
--- a/crates/foxhold-lab/src/plan.rs
+++ b/crates/foxhold-lab/src/plan.rs
@@ -95,6 +95,8 @@
 pub enum What {
     /// SIGKILL; started again when it is over, cold and empty.
     Kill,
+    /// Not there before: a server starts cold and is listed then, a director starts then.
+    Join,
     /// SIGSTOP; SIGCONT when it is over.
     Stall,
     /// A link hurt.
@@ -131,6 +133,8 @@
     OtherBytes,
     /// Clients of this director that leave are said to have left 0.2 s before they ask.
     AskedAfterLeave,
+    /// It starts anew, cold and empty, and the list does not tell.
+    SecretRestart,
 }
 
 /// All of a play.
@@ -174,6 +178,8 @@
     pub leave: f64,
     /// See `leave`.
     pub leave_within_ms: f64,
+    /// Each director hears of the list up to so many seconds late, always the same.
+    pub list_late: f64,
     /// Directors talk among themselves.
     pub peers: bool,
     /// The classes.
@@ -214,6 +220,7 @@
             often: 1.0,
             leave: 0.0,
             leave_within_ms: 400.0,
+            list_late: 0.0,
             peers: false,
             classes: vec![
                 class("page-bits", 0.97, 40.0, 250.0, 3_000.0, false),
@@ -268,6 +275,7 @@
             ("uneven", (0.0..1.0).contains(&self.uneven)),
             ("parent_link", self.parent_link > 0.0),
             ("origin_rate", self.origin_rate > 0.0),
+            ("list_late", (0.0..=10.0).contains(&self.list_late)),
             ("often_part", (0.0..=1.0).contains(&self.often_part)),
             ("leave", (0.0..=1.0).contains(&self.leave)),
             ("leave_within_ms", self.leave_within_ms > 0.0 && self.leave_within_ms.is_finite()),
@@ -285,6 +293,7 @@
             let named = matches!(
                 fault.what,
                 What::Kill
+                    | What::Join
                     | What::Stall
                     | What::Drain
                     | What::Undrain
--- a/src/peers/members.rs
+++ b/src/peers/members.rs
@@ -138,8 +138,8 @@
         down.map(|m| m.id().clone()).collect()
     }
 
-    /// Takes other directors for live members without announcing it to anyone, as in a cluster that has long been
-    /// in its steady state.
+    /// Takes other directors for live members and announces that to nobody, as in a cluster that has long
+    /// been in its steady state.
     pub fn know(&mut self, peers: impl Iterator<Item = Member>) -> ProtocolOutput {
         let result = self.foca.apply_many(peers.map(foca::Member::alive), false, &mut self.runtime);
         self.output(result)
