--- a/crates/foxhold-lab/src/main.rs
+++ b/crates/foxhold-lab/src/main.rs
@@ -6,6 +6,10 @@
 
 mod command;
 
+/// What is allocated is counted: hollow directors' memory is told from it.
+#[global_allocator]
+static ALLOCATED: cap::Cap<std::alloc::System> = cap::Cap::new(std::alloc::System, usize::MAX);
+
 /// foxhold's laboratory.
 #[derive(Parser)]
 #[command(version, about)]
@@ -24,6 +28,9 @@
     /// Directors that talk among themselves: how fast an update is with all, and what that costs; exit 1 where one was
     /// not
     Talk(command::talk::Options),
+    /// Many directors in one process over a simulated network, without clients and servers: what control costs each,
+    /// and when purges are everywhere; exit 1 where one was not
+    Hollow(command::hollow::Options),
     /// Many processes of the director before stand-ins, with faults between them, by a plan in YAML
     Fleet(command::fleet::Options),
     /// One stand-in server as a process: told on standard input, telling on standard output
@@ -53,6 +60,7 @@
         Command::Draw(options) => command::trace::draw(&options),
         Command::Trace(options) => command::trace::compare_daemon_and_library(options),
         Command::Talk(options) => command::talk::run(&options),
+        Command::Hollow(options) => command::hollow::run(&options, || ALLOCATED.allocated()),
         Command::Fleet(options) => command::fleet::run(options),
         Command::StandIn { start } => stand_in(&start),
         Command::Overhead(options) => command::overhead::run(&options),
--- a/src/peers/membership.rs
+++ b/src/peers/membership.rs
@@ -2,24 +2,23 @@
 
 use super::draw;
 use super::duplicates::DuplicateNames;
-use super::members::{Member, Members, ProtocolOutput};
+use super::members::{Member, Members, ProtocolOutput, Timer};
 use super::timers::Timers;
 use crate::api::Micros;
 use crate::estimate::hash::unit;
-use foca::Timer;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Mean time between announcements to seeds that are not among the members.
-const SEED_INTERVAL: Duration = Duration::from_secs(1);
+pub const SEED_INTERVAL: Duration = Duration::from_secs(1);
 /// While the number of members grows, some are asked for theirs this often.
-const DISCOVERY_INTERVAL: Duration = Duration::from_millis(250);
+pub const DISCOVERY_INTERVAL: Duration = Duration::from_millis(250);
 /// Members asked in one interval of discovery.
-const DISCOVERY_FANOUT: usize = 2;
+pub const DISCOVERY_FANOUT: usize = 2;
 /// Least time between two announcements to senders that are not known as members.
-const GREETING_INTERVAL: Duration = Duration::from_millis(100);
+pub const GREETING_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The members of the cluster, with the protocol's timers and the times of what this director does itself.
 pub(super) struct Membership {
@@ -27,7 +26,7 @@
     pub(super) members: Members,
     /// Names that two or more directors have.
     pub(super) duplicates: DuplicateNames,
-    timers: Timers<Timer<Member>>,
+    timers: Timers<Timer>,
     seeds: Vec<SocketAddr>,
     own_address: SocketAddr,
     /// Members with their incarnations, by which one that has restarted is recognised.
@@ -60,7 +59,7 @@
     }
 
     /// Schedules timers of the protocol.
-    pub(super) fn schedule(&mut self, timers: Vec<(Duration, Timer<Member>)>) {
+    pub(super) fn schedule(&mut self, timers: Vec<(Duration, Timer)>) {
         for (after, timer) in timers {
             self.timers.schedule(after, timer);
         }
--- a/src/peers/transport.rs
+++ b/src/peers/transport.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 /// Senders whose message numbers are remembered.
-const REMEMBERED_SENDERS: usize = 4096;
+pub const REMEMBERED_SENDERS: usize = 4096;
 
 /// Totals since the start.
 #[derive(Debug, Default)]
