--- a/crates/foxhold-lab/src/lib.rs
+++ b/crates/foxhold-lab/src/lib.rs
@@ -6,11 +6,13 @@
 //! | [`standin`] | one stand-in server on a socket, as a process or a task |
 //! | [`relay`] | a link between two processes, and the faults injected into it |
 //! | [`plan`] | a play of many processes as data: who takes part, what is asked, what goes wrong |
+//! | [`hollow`] | many directors in one process, over a simulated network in simulated time |
 //! | [`leave`] | clients that leave before their answers, and the rule that nothing begins for them any more |
 //! | [`load`] | an open-loop load, and what comes back held against the rules |
 //! | [`harness`] | the play: the director's processes, the stand-ins', the links and the faults |
 //! | [`report`] | its figures as JSON, and one page with plots |
 //! | [`storm`] | a play of drawn faults among directors that talk |
+//! | [`cold`] | the budget of a server that started cold, over all who send to it |
 //! | [`peer_network`] | the relays between directors that share state, and the paths between them |
 //! | [`talk`] | a fleet of such directors, as processes |
 //! | [`peer_scenario`] | what that costs them, and how fast an update is with all |
@@ -22,8 +24,10 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod cold;
 pub mod fleet;
 pub mod harness;
+pub mod hollow;
 pub mod leave;
 pub mod load;
 pub mod model;
--- a/crates/foxhold-lab/src/peer_scenario.rs
+++ b/crates/foxhold-lab/src/peer_scenario.rs
@@ -22,7 +22,6 @@
 /// Between two updates, and between two looks at the directors' logs.
 const UPDATE_PAUSE: Duration = Duration::from_millis(100);
 const LOG_POLL: Duration = Duration::from_millis(5);
-const BUSY_UPDATES_PER_SECOND: u64 = 10;
 /// Between two looks at how far a director has come.
 const CATCH_UP_POLL: Duration = Duration::from_millis(5);
 /// A director that catches up is probed for so long, before and meanwhile.
@@ -43,9 +42,12 @@
     /// Updates, each sent to another director, one after the other
     #[arg(long, alias = "words", default_value_t = 20)]
     pub updates: usize,
-    /// Seconds without an update, in which idle traffic is measured, and as many with ten updates a second
+    /// Seconds without an update, in which idle traffic is measured, and as many with purges
     #[arg(long, default_value_t = 10)]
     pub seconds: u64,
+    /// Purges a second meanwhile
+    #[arg(long, default_value_t = 10)]
+    pub rate: u32,
     /// Seed of losses
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
@@ -92,7 +94,7 @@
     pub missed: usize,
     /// Without updates.
     pub idle: ResourceUse,
-    /// With ten updates a second.
+    /// With purges, at the rate that was asked for.
     pub busy: ResourceUse,
     /// MB of a director at the end.
     pub memory_mb: f64,
@@ -222,7 +224,7 @@
     fleet.net.set_all(LinkConditions { lost: scenario.lost, ..LinkConditions::default() });
     let idle = measure_idle(&fleet, scenario.seconds).await;
     let spread = measure_spread(&fleet, scenario.updates).await?;
-    let busy = measure_busy(&fleet, scenario.seconds).await?;
+    let busy = measure_busy(&fleet, scenario.seconds, scenario.rate).await?;
     let memory = everyone.iter().filter_map(|n| fleet.memory(*n)).sum::<f64>();
     Ok(SpreadReport {
         directors: scenario.directors,
@@ -284,11 +286,11 @@
     Ok(())
 }
 
-/// What directors use with ten updates a second.
-async fn measure_busy(fleet: &Fleet, seconds: u64) -> Result<ResourceUse, Failure> {
+/// What directors use with so many purges a second.
+async fn measure_busy(fleet: &Fleet, seconds: u64, rate: u32) -> Result<ResourceUse, Failure> {
     let meter = ResourceMeter::read(fleet);
-    for n in 0..seconds * BUSY_UPDATES_PER_SECOND {
-        let due = meter.at + Duration::from_secs(n + 1) / BUSY_UPDATES_PER_SECOND as u32;
+    for n in 0..seconds * u64::from(rate) {
+        let due = meter.at + Duration::from_secs(n + 1) / rate;
         fleet.ask((n as usize * 11) % fleet.len(), &format!("purge group {n}")).await?;
         tokio::time::sleep_until(due.into()).await;
     }
--- a/crates/foxhold-lab/src/report.rs
+++ b/crates/foxhold-lab/src/report.rs
@@ -1,5 +1,6 @@
 //! What a play showed: figures as JSON, and one HTML page with plots.
 
+use crate::cold::ColdUse;
 use crate::leave::AfterLeave;
 use crate::load::{Book, End};
 use crate::model::{Role, Spec};
@@ -77,6 +78,8 @@
     pub suspicions: usize,
     /// By server.
     pub load: BTreeMap<String, Load>,
+    /// By server that started cold: what came of its budget.
+    pub cold: BTreeMap<String, ColdUse>,
     /// By second: asked, served within the aim.
     pub service: Vec<(u64, u64)>,
     /// By tenth of a second of the load: most requests under way.
@@ -100,6 +103,7 @@
         let (after_leave, begun_late) = AfterLeave::reckon(plan, zero_ms, &book.left, &seen.notes);
         breaches.extend(begun_late);
         let mut ran: HashMap<String, u32> = HashMap::new();
+        let mut cold: BTreeMap<String, ColdUse> = BTreeMap::new();
         for (name, note) in &seen.notes {
             match note {
                 Noted::Asked { ms, ask, full } => {
@@ -124,6 +128,7 @@
                 Noted::Drained(id) => {
                     breaches.push(format!("{name} got {id} over a second after it was told to drain"));
                 }
+                Noted::Cold(window) => cold.entry(name.clone()).or_default().add(window),
                 Noted::Listens(_) => {}
             }
         }
@@ -182,6 +187,7 @@
             service,
             in_flight: book.in_flight.get(settled..).unwrap_or_default().to_vec(),
             load,
+            cold,
             breaches,
         }
     }
@@ -216,6 +222,9 @@
                  {too_late} over the term\n"
             );
         }
+        for (name, cold) in &self.cold {
+            text += &format!("  {name} while cold: {cold}\n");
+        }
         for breach in self.breaches.iter().take(10) {
             text += &format!("  BROKEN: {breach}\n");
         }
@@ -300,7 +309,7 @@
     }
 }
 
-fn escape(text: &str) -> String {
+pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;")
 }
 
--- a/src/peers/actor.rs
+++ b/src/peers/actor.rs
@@ -23,7 +23,7 @@
 use tokio::time::{interval, Instant, MissedTickBehavior};
 
 /// The longest that an update waits before it is sent, so that several share a message.
-const TICK: Duration = Duration::from_millis(20);
+pub const TICK: Duration = Duration::from_millis(20);
 /// Datagrams taken one after the other before anything else is looked at.
 const RECEIVE_BATCH: usize = 4;
 
--- a/src/peers/members.rs
+++ b/src/peers/members.rs
@@ -6,8 +6,8 @@
 
 use foca::{
     AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification, PeriodicParams,
+    PostcardCodec,
 };
-use foca::{PostcardCodec, Timer};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,9 @@
 /// How often the step is doubled at most.
 const MAX_RENEWAL_SHIFT: u8 = 40;
 
+/// A timer of the protocol: handed back when it expires.
+pub type Timer = foca::Timer<Member>;
+
 /// The identity of a director.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Member {
@@ -84,7 +87,7 @@
     /// Messages to send, each to an address.
     pub messages: Vec<(SocketAddr, Vec<u8>)>,
     /// Timers to hand back, each after a delay.
-    pub timers: Vec<(Duration, Timer<Member>)>,
+    pub timers: Vec<(Duration, Timer)>,
     /// Changes of the membership, as text for the log.
     pub changes: Vec<String>,
 }
@@ -135,6 +138,13 @@
         down.map(|m| m.id().clone()).collect()
     }
 
+    /// Takes other directors for live members and announces that to nobody, as in a cluster that has long
+    /// been in its steady state.
+    pub fn know(&mut self, peers: impl Iterator<Item = Member>) -> ProtocolOutput {
+        let result = self.foca.apply_many(peers.map(foca::Member::alive), false, &mut self.runtime);
+        self.output(result)
+    }
+
     /// Announces this director to whichever director is at an address.
     pub fn announce(&mut self, address: SocketAddr) -> ProtocolOutput {
         let unknown = Member::new("", address, 0);
@@ -149,7 +159,7 @@
     }
 
     /// Handles a timer that has expired.
-    pub fn handle_timer(&mut self, timer: Timer<Member>) -> ProtocolOutput {
+    pub fn handle_timer(&mut self, timer: Timer) -> ProtocolOutput {
         let result = self.foca.handle_timer(timer, &mut self.runtime);
         self.output(result)
     }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -41,12 +41,14 @@
 mod timers;
 mod transport;
 
-pub use actor::Actor;
+pub use actor::{Actor, TICK};
 /// The path by which the admin endpoint still calls [`admin`].
 pub use admin as door;
 pub use handle::{Order, Peers};
+pub use membership::{DISCOVERY_FANOUT, DISCOVERY_INTERVAL, GREETING_INTERVAL, SEED_INTERVAL};
 pub use startup::open;
 pub use status::{PeerStatus, Status};
+pub use transport::REMEMBERED_SENDERS;
 
 use std::hash::{BuildHasher, Hasher, RandomState};
 
