--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 //! higher. All else is guard or exception.
 
 use crate::api::*;
+use crate::estimate::admission::{AdmittedShare, Steps};
 use crate::estimate::crowd::Crowds;
 use crate::estimate::fade::Fading;
 use crate::estimate::gamma::{excess, whole, Prior};
@@ -95,11 +96,8 @@
 const ROOMY: f64 = 1.2;
 /// The zone's link is crowded where a fill's bytes take over this multiple of its sending time.
 const ADMIT_SLOW: f64 = 1.75;
-/// What a fill that the zone's link carried slowly, or in time, does to the share of fills admitted, and the
-/// least of that, for it is tried again. Both pull alike where a quarter of the fills are slow.
-const ADMIT_CUT: f64 = 0.7;
-const ADMIT_GROW: f64 = 0.12;
-const ADMIT_LEAST: f64 = 0.05;
+/// What a sign of crowding, or of room, does to a share admitted; alike where a quarter are of the first kind.
+const ADMISSION: Steps = Steps { cut: 0.7, grow: 0.12, least: 0.05 };
 /// So many transfers over what the zone's link carries at full pace are right, where caches report them, and
 /// how far a report pulls the share towards what that takes.
 const LINK_FULL: f64 = 1.2;
@@ -277,7 +275,9 @@
     lost: f64,
     relist_wait: Micros,
     /// Share of the largest class's requests that may be filled, by how the zone's link carries fills.
-    admit: f64,
+    admit: AdmittedShare,
+    /// Share of the requests that may be fetched from the origin, by how it answers.
+    fetch: AdmittedShare,
 }
 
 impl Router {
@@ -293,7 +293,7 @@
         }
         let paces = settings.classes.iter().map(|_| FRESH).collect();
         let (random, extra) = (mix(seed, 1), EXTRA_SAVED / 2.0);
-        Ok(Router { settings, random, paces, extra, admit: 1.0, relist_wait: RELIST, ..Router::default() })
+        Ok(Router { settings, random, paces, extra, relist_wait: RELIST, ..Router::default() })
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -376,7 +376,7 @@
         for (id, s) in self.servers.iter().filter(|s| s.1.running()) {
             if self.is_parent(s) {
                 parents.push((*id, self.size(s)));
-            } else if self.is_origin(s) {
+            } else if s.member.kind == self.settings.origin_kind {
                 origin = origin.or(Some(*id));
             } else if s.member.zone == self.settings.zone {
                 caches.push((*id, self.size(s)));
@@ -392,16 +392,9 @@
         Some(server.member.kind) == self.settings.parent_kind
     }
 
-    fn is_origin(&self, server: &Server) -> bool {
-        server.member.kind == self.settings.origin_kind
-    }
-
     fn size(&self, server: &Server) -> f64 {
-        if self.settings.sizes_told && server.member.size > 0.0 {
-            server.member.size
-        } else {
-            UNTOLD_SIZE
-        }
+        let told = Some(server.member.size).filter(|size| self.settings.sizes_told && *size > 0.0);
+        told.unwrap_or(UNTOLD_SIZE)
     }
 
     /// The object's first servers of a role of those running, remembered with it until the list changes.
@@ -490,7 +483,7 @@
             (self.settings.cold_cache, if here > 0 { here } else { self.settings.routers })
         };
         let age = now.saturating_sub(s.member.since);
-        if s.member.since == 0 || age >= rule.warm_within || self.is_origin(s) {
+        if s.member.since == 0 || age >= rule.warm_within || s.member.kind == self.settings.origin_kind {
             return true;
         }
         let warm = rule.floor + (1.0 - rule.floor) * age as f64 / rule.warm_within as f64;
@@ -505,9 +498,7 @@
         s.cold_level = (s.cold_level + rate * now.saturating_sub(s.cold_at) as f64).min(room);
         s.cold_at = now;
         let enough = s.cold_level >= 0.0 && work <= limit * COLD_LARGEST;
-        if enough && spend {
-            s.cold_level -= work;
-        }
+        s.cold_level -= if enough && spend { work } else { 0.0 };
         enough
     }
 
@@ -725,18 +716,24 @@
         }
     }
 
-    /// What a fill's end tells of the zone's link: its bytes came slowly or not at all, or found no place.
-    fn admit_by(&mut self, end: &AttemptEnd, class: usize, work: f64, slow: bool) {
-        let sending = end.took.saturating_sub(end.waited) as f64;
-        let crowded = match (end.outcome, end.note) {
+    /// What a fill's end tells of the zone's link: its bytes came slowly or not at all, or found no place; and
+    /// of the origin, which all parents fetch from: it answered late, or turned the fetch away.
+    fn admit_by(&mut self, end: &AttemptEnd, class: usize, work: f64, late: bool, at_origin: bool) {
+        let slow = end.took.saturating_sub(end.waited) as f64 > ADMIT_SLOW * (work + HIT_EXTRA);
+        let swamped = self.fetch.value() < 1.0;
+        let (link, origin) = match (end.outcome, end.note) {
             _ if self.settings.classes[class].write => return,
-            (Outcome::Ok, Note::Filled | Note::FilledByOrigin) => sending > ADMIT_SLOW * (work + HIT_EXTRA),
-            (Outcome::Full, Note::NoPlace) => true,
-            (Outcome::Canceled | Outcome::TimedOut, _) if slow => true,
+            (Outcome::Ok, Note::Filled) => (Some(slow), None),
+            (Outcome::Ok, Note::FilledByOrigin) => (Some(slow), Some(late)),
+            (Outcome::Full, Note::NoPlace) => (Some(true), None),
+            (Outcome::Full, Note::OriginFailed) => (None, Some(true)),
+            (Outcome::Full, Note::SourceRefused) if at_origin => (None, Some(true)),
+            // Which of the two held it up is not told: it counts against an origin known to be swamped.
+            (Outcome::Canceled | Outcome::TimedOut, _) if late => (Some(true), swamped.then_some(true)),
             _ => return,
         };
-        let next = if crowded { self.admit * ADMIT_CUT } else { self.admit + ADMIT_GROW };
-        self.admit = next.clamp(ADMIT_LEAST, 1.0);
+        link.into_iter().for_each(|crowded| self.admit.observe(crowded, ADMISSION));
+        origin.into_iter().for_each(|crowded| self.fetch.observe(crowded, ADMISSION));
     }
 
     /// A cache's report of the zone's link, over which its fills and all others' come: it tells at once what
@@ -746,7 +743,7 @@
         let ours = self.caches.binary_search_by_key(&cache, |c| c.0).is_ok();
         if let Some(times) = place.and_then(|n| report.get(n)).filter(|_| ours) {
             let pull = (LINK_FULL / times.max(LINK_FULL / 2.0)).powf(LINK_PULL);
-            self.admit = (self.admit * pull).clamp(ADMIT_LEAST, 1.0);
+            self.admit.scale(pull, ADMISSION);
         }
     }
 
@@ -804,7 +801,8 @@
     }
 
     fn choose(&mut self, now: Micros, held: &Held) -> Option<Choice> {
-        if self.settings.classes[held.request.class].write && self.settings.direct {
+        let write = self.settings.classes[held.request.class].write;
+        if write && self.settings.direct {
             let new =
                 |o: &ServerId| held.attempts.iter().all(|a| a.server != *o) && self.may_send(held, *o, now);
             if let Some(origin) = self.origin.filter(new) {
@@ -818,8 +816,10 @@
             // Guards the zone's link, which all fills share. Classes that take little of it go on longest;
             // within a class no size goes before another.
             let heavy = self.paces[held.request.class].work / self.lump();
-            let admitted = unit(self.draw()) <= self.admit.powf(heavy);
-            let source = if admitted { self.pick_source(now, held) } else { None };
+            // A write is kept nowhere: without a source it is sent for nothing.
+            let admitted = write || unit(self.draw()) <= self.admit.value().powf(heavy);
+            let fetched = write || admitted && unit(self.draw()) <= self.fetch.value();
+            let source = if fetched { self.pick_source(now, held) } else { None };
             // Without a source it is looked for at two caches: parts and hot objects lie at several.
             let (held_only, missed) = (source.is_none(), held.attempts.iter().filter(|a| a.missed).count());
             let parent = source.or_else(|| self.pick_held(now, held).filter(|_| admitted));
@@ -907,7 +907,7 @@
             Note::None => self.settings.notes == Notes::None,
             _ => direct,
         };
-        self.admit_by(&end, class, work, slow && source.is_some());
+        self.admit_by(&end, class, work, slow && source.is_some(), source == self.origin);
         match end.outcome {
             Outcome::Ok => {
                 self.praise(server, now, out);
--- a/src/estimate/mod.rs
+++ b/src/estimate/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! | module | holds |
 //! | --- | --- |
+//! | [`admission`] | the share of work that a crowded resource is still given |
 //! | [`fade`] | counts that fade |
 //! | [`gamma`] | rates and shares from few events, with their error |
 //! | [`hash`] | a hash that is the same at every director |
@@ -16,6 +17,7 @@
 //! One director of three hundred sees a three hundredth of what happens. Every estimate here is therefore a
 //! mean that leans on what is usual (the prior) until it has seen enough, and says how far off it may be.
 
+pub mod admission;
 pub mod crowd;
 pub mod fade;
 pub mod gamma;
