--- a/src/decide.rs
+++ b/src/decide.rs
@@ -96,7 +96,7 @@
 const ROOMY: f64 = 1.2;
 /// The zone's link is crowded where a fill's bytes take over this multiple of its sending time.
 const ADMIT_SLOW: f64 = 1.75;
-/// What a sign of crowding, or of room, does to a share admitted; alike where a quarter are of the first kind.
+/// What a sign of crowding, or of room, does to a share admitted; both pull alike at one in four.
 const ADMISSION: Steps = Steps { cut: 0.7, grow: 0.12, least: 0.05 };
 /// So many transfers over what the zone's link carries at full pace are right, where caches report them, and
 /// how far a report pulls the share towards what that takes.
@@ -115,8 +115,7 @@
 const PURGE_EXTRA: Micros = 3_000_000;
 /// Wait before asking for the member list again, doubled at each failure in a row.
 const RELIST: Micros = 200_000;
-/// A request this near its end is not worth a send.
-const TOO_LATE: Micros = 2_000;
+const TOO_LATE: Micros = 2_000; // a request this near its end is not worth a send
 
 /// Kinds of timers, in the bits of a token above the request id.
 const TIMER_DEADLINE: Token = 1 << 64;
@@ -716,11 +715,11 @@
         }
     }
 
-    /// What a fill's end tells of the zone's link: its bytes came slowly or not at all, or found no place; and
-    /// of the origin, which all parents fetch from: it answered late, or turned the fetch away.
+    /// What a fill's end tells of the zone's link: its bytes came slowly or not at all, or found no place;
+    /// and of the origin, which all parents fetch from: it answered late, or turned the fetch away.
     fn admit_by(&mut self, end: &AttemptEnd, class: usize, work: f64, late: bool, at_origin: bool) {
         let slow = end.took.saturating_sub(end.waited) as f64 > ADMIT_SLOW * (work + HIT_EXTRA);
-        let swamped = self.fetch.value() < 1.0;
+        let swamped = !self.fetch.is_full();
         let (link, origin) = match (end.outcome, end.note) {
             _ if self.settings.classes[class].write => return,
             (Outcome::Ok, Note::Filled) => (Some(slow), None),
@@ -818,7 +817,8 @@
             let heavy = self.paces[held.request.class].work / self.lump();
             // A write is kept nowhere: without a source it is sent for nothing.
             let admitted = write || unit(self.draw()) <= self.admit.value().powf(heavy);
-            let fetched = write || admitted && unit(self.draw()) <= self.fetch.value();
+            let fetched =
+                write || admitted && (self.fetch.is_full() || unit(self.draw()) <= self.fetch.value());
             let source = if fetched { self.pick_source(now, held) } else { None };
             // Without a source it is looked for at two caches: parts and hot objects lie at several.
             let (held_only, missed) = (source.is_none(), held.attempts.iter().filter(|a| a.missed).count());
--- a/src/estimate/admission.rs
+++ b/src/estimate/admission.rs
@@ -1,4 +1,4 @@
-//! The share of work that a crowded resource is still given, by additive increase and multiplicative decrease.
+//! The share of work that a crowded resource is still given: additive increase, multiplicative decrease.
 
 /// How a share moves with each sign.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,6 +27,11 @@
         self.0
     }
 
+    /// Whether everything is admitted.
+    pub fn is_full(self) -> bool {
+        self.0 >= 1.0
+    }
+
     /// Takes one sign: whether the resource was crowded.
     pub fn observe(&mut self, crowded: bool, steps: Steps) {
         let next = if crowded { self.0 * steps.cut } else { self.0 + steps.grow };
