--- a/crates/foxhold-lab/src/standin.rs
+++ b/crates/foxhold-lab/src/standin.rs
@@ -451,8 +451,9 @@
         // What caches ask is work of its size; of a cache each attempt counts at the mean, served or not.
         let weighs = if spec.role == Role::Cache { spec.work(mean) } else { spec.work(kb) };
         let overrun = self.pressure.borrow_mut().push(self.now(), weighs, self.warmth(), spec);
-        // A warm server is pushed over by the plain limit, a cold one by what the page reckons.
-        if self.counts_as_cold(weighs).unwrap_or(overrun) {
+        // The plain limit, without what the page puts down to chance, holds for cold servers too.
+        let overrun_cold = self.counts_as_cold(weighs).unwrap_or(false);
+        if overrun || overrun_cold {
             self.falls(fell);
         }
         if self.stopped_until.get().is_some_and(|until| Instant::now() < until) {
