--- a/src/decide.rs
+++ b/src/decide.rs
@@ -716,14 +716,14 @@
     }
 
     /// What a fill's end tells of the zone's link: its bytes came slowly or not at all, or found no place;
-    /// and of the origin, which all parents fetch from: it answered late, or turned the fetch away.
+    /// and of the origin, which all parents fetch from: it was waited for too long, or turned the fetch away.
     fn admit_by(&mut self, end: &AttemptEnd, class: usize, work: f64, late: bool, at_origin: bool) {
         let slow = end.took.saturating_sub(end.waited) as f64 > ADMIT_SLOW * (work + HIT_EXTRA);
         let swamped = !self.fetch.is_full();
         let (link, origin) = match (end.outcome, end.note) {
             _ if self.settings.classes[class].write => return,
             (Outcome::Ok, Note::Filled) => (Some(slow), None),
-            (Outcome::Ok, Note::FilledByOrigin) => (Some(slow), Some(late)),
+            (Outcome::Ok, Note::FilledByOrigin) => (Some(slow), Some(late && end.waited > end.took / 2)),
             (Outcome::Full, Note::NoPlace) => (Some(true), None),
             (Outcome::Full, Note::OriginFailed) => (None, Some(true)),
             (Outcome::Full, Note::SourceRefused) if at_origin => (None, Some(true)),
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -7,6 +7,8 @@
 /// An answer of this time is late for the class's aim, and nearly all of it was waited for the first byte.
 const LATE_ANSWER: Micros = 450_000;
 const LATE_FIRST_BYTE: Micros = 400_000;
+/// The same answer where the bytes themselves took the time.
+const EARLY_FIRST_BYTE: Micros = 50_000;
 /// How many lone requests are looked at.
 const PROBES: u64 = 100;
 
@@ -69,6 +71,26 @@
     assert!(held_back <= 5, "{held_back} of {PROBES} held back after the origin is well again");
 }
 
+/// Short days with few directors: a large object takes most of its aim to send, be the origin ever so quick.
+#[test]
+fn a_fetch_that_is_late_by_its_own_bytes_holds_no_other_back() {
+    let mut gateway = Gateway::with(deployment_without_joins(), &[1, 2, 3, 11, 12, 13, 20]);
+    for object in 1_000..1_120 {
+        gateway.now += 20_000;
+        if object % 3 == 0 {
+            let large = Request { size_kb: 400.0, ..gateway.request(0, object) };
+            let actions = gateway.event(Event::Request(large));
+            let one = sent(&actions).first().cloned().unwrap_or_else(|| panic!("nothing sent: {actions:?}"));
+            fetched_from_origin(&mut gateway, &one, LATE_ANSWER, EARLY_FIRST_BYTE);
+        } else {
+            let one = gateway.send(object);
+            gateway.end(&one, 0, Outcome::Ok, Note::Filled);
+        }
+    }
+    let held_back = held_only(&mut gateway, 2_000);
+    assert!(held_back <= 5, "{held_back} of {PROBES} held back, though the origin answers at once");
+}
+
 /// A write is kept nowhere: sent without a source it can only miss.
 #[test]
 fn a_write_names_the_origin_however_crowded_the_link_is() {
