Review case 3: a drain never arrives while the notice board's lines come 3 s late

Cause: the watch is closed after 2.5 s without a byte, also before the first line of a new connection.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -39,7 +39,7 @@
         members.push(member(&parent.id, &parent.address, hub, "parent", 20, 60.0));
     }
     members.push(member(&origin.id, &origin.address, "north-hub", "origin", 21, 40.0));
-    let board = Board::start(1);
+    let board = Board::start(record);
     let (listen, ops) = (free_address(), free_address());
     let file = config(&listen, &ops, &board.address, &members, [GUIDE_VIDEOS, PAGE_BITS, FILING_SUBMIT]);
     let Some(director) = Director::start(&arguments.root, &arguments.run, &listen, &ops, &file, record) else {
--- a/review/standins/mod.rs
+++ b/review/standins/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -276,28 +276,113 @@
 
 // ---- the notice board ----
 
-/// A notice board whose list does not change.
+/// A notice board: on `watch N` it tells all events after N, and the last number once a second.
 pub struct Board {
     pub address: String,
+    events: Arc<Mutex<Vec<String>>>,
 }
 
 impl Board {
-    pub fn start(last_number: u64) -> Board {
+    /// Starts a board whose event 1 is in the director's configuration.
+    pub fn start(record: &Record) -> Board {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().unwrap().to_string();
+        let events: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (told, record) = (events.clone(), record.clone());
         thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                thread::spawn(move || {
-                    while stream.write_all(format!("{last_number}\n").as_bytes()).is_ok() {
-                        thread::sleep(Duration::from_secs(1));
-                    }
-                });
+            for stream in listener.incoming().flatten() {
+                let (told, record) = (told.clone(), record.clone());
+                thread::spawn(move || tell(stream, &told, &record));
+            }
+        });
+        Board { address, events }
+    }
+
+    /// Adds the next event: the text after its number, such as `"pool":{...}`.
+    pub fn add(&self, text: &str) {
+        let mut events = self.events.lock().unwrap();
+        let number = events.len() + 2;
+        events.push(format!("{{\"rev\":{number},{text}}}"));
+    }
+}
+
+fn tell(stream: TcpStream, events: &Mutex<Vec<String>>, record: &Record) -> Option<()> {
+    let mut writer = stream.try_clone().ok()?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).ok()?;
+    record.line(format!("board got: {}", line.trim_end()));
+    let mut number: usize = line.trim_end().strip_prefix("watch ")?.parse().ok()?;
+    let mut last_number_at: Option<Instant> = None;
+    loop {
+        let all = events.lock().unwrap().clone();
+        for event in all.iter().skip(number - 1) {
+            record.line(format!("board tells: {event}"));
+            writer.write_all(format!("{event}\n").as_bytes()).ok()?;
+            number += 1;
+        }
+        if last_number_at.is_none_or(|at| at.elapsed() >= Duration::from_secs(1)) {
+            writer.write_all(format!("{}\n", all.len() + 1).as_bytes()).ok()?;
+            last_number_at = Some(Instant::now());
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A proxy that passes on what a server sends after a delay, and loses nothing.
+pub struct Proxy {
+    pub address: String,
+    delay_ms: Arc<AtomicU64>,
+}
+
+impl Proxy {
+    pub fn start(server: &str) -> Proxy {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().unwrap().to_string();
+        let delay_ms = Arc::new(AtomicU64::new(0));
+        let (server, delay) = (server.to_owned(), delay_ms.clone());
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                if let Ok(server) = TcpStream::connect(&server) {
+                    pass_on(client, server, delay.clone());
+                }
             }
         });
-        Board { address }
+        Proxy { address, delay_ms }
+    }
+
+    /// Sets the delay of what the server sends from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 }
 
+fn pass_on(client: TcpStream, server: TcpStream, delay_ms: Arc<AtomicU64>) -> Option<()> {
+    let (mut from_client, mut to_server) = (client.try_clone().ok()?, server.try_clone().ok()?);
+    thread::spawn(move || {
+        let _ = std::io::copy(&mut from_client, &mut to_server);
+        let _ = to_server.shutdown(Shutdown::Both);
+    });
+    let (sender, receiver) = std::sync::mpsc::channel::<(Instant, Vec<u8>)>();
+    let (mut from_server, mut to_client) = (server, client);
+    thread::spawn(move || {
+        let mut bytes = [0; 4096];
+        while let Ok(read @ 1..) = from_server.read(&mut bytes) {
+            let due = Instant::now() + Duration::from_millis(delay_ms.load(Ordering::Relaxed));
+            let _ = sender.send((due, bytes[..read].to_vec()));
+        }
+    });
+    thread::spawn(move || {
+        for (due, bytes) in receiver {
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            if to_client.write_all(&bytes).is_err() {
+                break;
+            }
+        }
+        let _ = to_client.shutdown(Shutdown::Both);
+    });
+    Some(())
+}
+
 // ---- the platform ----
 
 /// One entry of the list.
@@ -404,6 +489,11 @@
         let _ = Command::new("/bin/sh").args(["-c", "kill -\"$0\" \"$1\"", name, &pid]).status();
     }
 
+    /// Returns the number of the director's process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the director has exited.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
