Review case 2: bad clients take a director over its limit of memory

Cause: while a response is pending a connection's buffer grows to 128 KiB, and nothing bounds all of them together.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,25 +1,30 @@
-//! Commands that a client sent at once are read and thrown away unanswered. See claim.txt.
+//! Bad clients take a director over its limit of memory. See claim.txt.
 
 #[path = "../standins/mod.rs"]
 mod standins;
 
 use standins::*;
-use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const CLIENTS: usize = 8;
-/// Writes that a client sends, each with a body under the 48,000 bytes that a write brings at most.
-const WRITES: usize = 3;
-const BODY_BYTES: usize = 40_000;
-/// How long a client waits for an answer: the whole give-up time of `filing-submit`.
-const ALLOW_MS: u64 = 3000;
-/// Time after a client's wait in which an answer only earns nothing.
-const LATE_MS: u64 = 500;
-/// The origin answers in 35 to 69 ms, and a write takes 10 to 30 ms there.
-const ORIGIN_MS: u64 = 90;
-/// A request that crosses the close of a connection within this time goes again.
-const CROSSING: Duration = Duration::from_millis(50);
+const MEMORY_MB: u64 = 48;
+/// Clients hold at most a third of the 1,024 descriptors: 341. Five of them are usual clients.
+const BAD_CLIENTS: usize = 330;
+const USUAL_CLIENTS: u64 = 5;
+/// What the length says, and how many bytes the bad clients send beyond it.
+const BODY_BYTES: usize = 48_000;
+const BYTES_BEYOND: usize = 300_000;
+/// Bytes of a header that nobody asked for, in their requests with and without the disruption.
+const HEADER_BYTES: usize = 15_000;
+/// The origin answers in 35 to 69 ms, and slows down when crowded.
+const ORIGIN_MS: u64 = 60;
+const CROWDED_ORIGIN_MS: u64 = 1000;
+/// Longest time in which a bad client is owed a refusal, an error or a close.
+const OWED_WITHIN: Duration = Duration::from_secs(3);
 
 fn main() {
     let arguments = Arguments::read();
@@ -29,10 +34,14 @@
 }
 
 fn run(arguments: &Arguments, record: &Record) -> i32 {
-    let answer = |want: &Want| served(60, want);
+    let answer = |want: &Want| served(300, want);
     let caches: Vec<Server> = (0..4).map(|n| Server::start(&format!("s-0000c0{n}1"), record, answer)).collect();
     let parents = [1, 2].map(|n| Server::start(&format!("s-0000aa{n}0"), record, answer));
-    let origin = Server::start("s-0000ff00", record, |want| served(ORIGIN_MS, want));
+    let in_hand = Arc::new(AtomicU64::new(0));
+    let origin = Server::start("s-0000ff00", record, move |want| {
+        let is_crowded = in_hand.fetch_add(1, Ordering::Relaxed) > 20;
+        served(if is_crowded { CROWDED_ORIGIN_MS } else { ORIGIN_MS }, want)
+    });
     let mut members: Vec<String> =
         caches.iter().map(|cache| member(&cache.id, &cache.address, ZONE, "standard-box", 1, 24.0)).collect();
     for (parent, hub) in parents.iter().zip(["north-hub", "south-hub"]) {
@@ -41,105 +50,118 @@
     members.push(member(&origin.id, &origin.address, "north-hub", "origin", 21, 40.0));
     let board = Board::start(record);
     let (listen, ops) = (free_address(), free_address());
-    let file = config(&listen, &ops, &board.address, &members, [GUIDE_VIDEOS, PAGE_BITS, FILING_SUBMIT]);
-    let Some(director) = Director::start(&arguments.root, &arguments.run, &listen, &ops, &file, record) else {
+    let classes = [GUIDE_VIDEOS, PAGE_BITS, FILING_SUBMIT];
+    let file = config_with_memory(&listen, &ops, &board.address, &members, classes, MEMORY_MB);
+    let Some(mut director) = Director::start(&arguments.root, &arguments.run, &listen, &ops, &file, record) else {
         return COULD_NOT_RUN;
     };
-    let mut random = Random(unix_ms());
-    let (mut answered, mut lost, mut excused) = (0, 0, 0);
-    for client in 0..CLIENTS {
-        let writes: Vec<(String, String)> =
-            (0..WRITES).map(|_| (format!("{:016x}", random.next()), format!("{:016x}", random.next()))).collect();
-        let ends = if arguments.trouble {
-            send_at_once(&listen, client, &writes, record)
-        } else {
-            send_one_by_one(&listen, client, &writes, record)
-        };
-        for (id, end) in ends {
-            match end {
-                End::Answered => answered += 1,
-                End::Lost => lost += 1,
-                End::Crossed => excused += 1,
-            }
-            record.line(format!("client {client}: {id} is {end:?}"));
-        }
-    }
-    let ran: HashMap<String, usize> = origin.wants().into_iter().fold(HashMap::new(), |mut ran, want| {
-        *ran.entry(want.id).or_default() += 1;
-        ran
-    });
+    let Some(at_rest) = director.memory_kib() else { return COULD_NOT_RUN };
+    record.say(format!("the director has {at_rest} KiB at rest, and may have {MEMORY_MB} MB"));
+
+    // The platform kills a director that is over its limit.
+    let (peak, done) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+    let platform = {
+        let (peak, done, record, pid) = (peak.clone(), done.clone(), record.clone(), director.pid());
+        thread::spawn(move || watch_memory(pid, &peak, &done, &record))
+    };
+    let usual: Vec<_> = (0..USUAL_CLIENTS)
+        .map(|number| {
+            let (listen, record, done) = (listen.clone(), record.clone(), done.clone());
+            thread::spawn(move || ask_as_usual(&listen, number, &done, &record))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let beyond = if arguments.trouble { BYTES_BEYOND } else { 0 };
+    record.say(format!("{BAD_CLIENTS} clients send a write of {BODY_BYTES} bytes each, and {beyond} bytes beyond its length"));
+    let together = Arc::new(Barrier::new(BAD_CLIENTS));
+    let bad: Vec<_> = (0..BAD_CLIENTS)
+        .map(|number| {
+            let (listen, record, together) = (listen.clone(), record.clone(), together.clone());
+            thread::spawn(move || send_badly(&listen, number, beyond, &together, &record))
+        })
+        .collect();
+    let ends: Vec<String> = bad.into_iter().map(|client| client.join().unwrap_or_default()).collect();
+    thread::sleep(Duration::from_millis(500));
+    done.store(true, Ordering::Relaxed);
+    let lost: usize = usual.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    let was_killed = platform.join().unwrap_or(false);
+    let answered = ends.iter().filter(|end| end.starts_with("HTTP/1.1")).count();
+    record.say(format!("{answered} of the {BAD_CLIENTS} got an answer; peak memory {} KiB", peak.load(Ordering::Relaxed)));
     director.copy_log(record);
-    record.say(format!(
-        "{} writes taken: {answered} answered, {lost} lost, {excused} crossed a close; {} reached the origin",
-        CLIENTS * WRITES,
-        ran.len()
-    ));
-    if answered == 0 {
-        return COULD_NOT_RUN;
+    if was_killed {
+        record.say(format!("BROKEN: over {MEMORY_MB} MB, killed; {lost} requests of usual clients got no answer"));
+        return BROKEN;
     }
-    if lost > 0 {
-        record.say("BROKEN: writes that the director had taken never got an answer");
+    if director.has_ended() {
+        record.say("BROKEN: the director ended by itself");
         return BROKEN;
     }
-    record.say("held");
+    record.say(format!("held: {lost} requests of usual clients got no answer"));
     HELD
 }
 
-#[derive(Debug)]
-enum End {
-    /// It got a final answer: served, refused or failed.
-    Answered,
-    /// It got none in its time and half a second more.
-    Lost,
-    /// The connection ended within 50 ms of its last byte.
-    Crossed,
-}
-
-/// Sends all writes of a client at once on one connection, and reads the answers.
-fn send_at_once(listen: &str, client: usize, writes: &[(String, String)], record: &Record) -> Vec<(String, End)> {
-    let Some(mut connection) = Client::connect(listen) else { return Vec::new() };
-    let requests: Vec<u8> =
-        writes.iter().flat_map(|(id, object)| put("filing-submit", object, id, ALLOW_MS, BODY_BYTES)).collect();
-    let ids: Vec<&str> = writes.iter().map(|(id, _)| id.as_str()).collect();
-    record.line(format!("client {client}: sends {} writes at once: {}", ids.len(), ids.join(" ")));
-    let written = connection.send(&requests);
-    let sent_at = Instant::now();
-    record.line(format!("client {client}: the last byte of all is written: {written}"));
-    read_answers(connection, client, writes, sent_at, record)
+/// Samples the director's memory, and kills it once it is over its limit. Returns whether it was killed.
+fn watch_memory(pid: u32, peak: &AtomicU64, done: &AtomicBool, record: &Record) -> bool {
+    while !done.load(Ordering::Relaxed) {
+        let Some(kib) = memory_kib(pid) else { return false };
+        if kib > peak.fetch_max(kib, Ordering::Relaxed) {
+            record.line(format!("platform: the director has {kib} KiB"));
+        }
+        if kib > MEMORY_MB * 1024 {
+            record.say(format!("platform: the director has {kib} KiB, over {MEMORY_MB} MB, and is killed"));
+            let _ = std::process::Command::new("/bin/sh").args(["-c", "kill -KILL \"$0\"", &pid.to_string()]).status();
+            return true;
+        }
+        thread::sleep(Duration::from_millis(3));
+    }
+    false
 }
 
-fn read_answers(
-    mut connection: Client,
-    client: usize,
-    writes: &[(String, String)],
-    sent_at: Instant,
-    record: &Record,
-) -> Vec<(String, End)> {
-    let until = sent_at + Duration::from_millis(ALLOW_MS + LATE_MS);
-    let mut ends = Vec::new();
-    for (id, _) in writes {
-        let end = match connection.answer(until) {
-            Ok(answer) => {
-                let closes = if answer.closes { ", and the connection closes" } else { "" };
-                record.line(format!("client {client}: {id} got {}{closes}", answer.status));
-                End::Answered
-            }
-            Err(error) => {
-                record.line(format!("client {client}: {id} got none: {error}"));
-                if sent_at.elapsed() <= CROSSING { End::Crossed } else { End::Lost }
+/// A bad client: sends a write, goes on beyond its length at full speed, and reads what it is sent. Returns
+/// the first line that it read.
+fn send_badly(listen: &str, number: usize, beyond: usize, together: &Barrier, record: &Record) -> String {
+    let mut random = Random(unix_ms() * 1000 + number as u64);
+    let (id, object) = (format!("{:016x}", random.next()), format!("{:016x}", random.next()));
+    let connected = TcpStream::connect(listen);
+    together.wait();
+    let Ok(mut stream) = connected else { return "no connection".into() };
+    let note = format!("X-Allow-Ms: 3000\r\nX-Note: {}\r\n", "n".repeat(HEADER_BYTES));
+    let mut request = put("filing-submit", &object, &id, 3000, BODY_BYTES);
+    let head = String::from_utf8_lossy(&request[..request.len() - BODY_BYTES]).replace("X-Allow-Ms: 3000\r\n", &note);
+    request.splice(..request.len() - BODY_BYTES, head.into_bytes());
+    let _ = stream.write_all(&request);
+    let Ok(mut writer) = stream.try_clone() else { return "no connection".into() };
+    let sender = thread::spawn(move || {
+        let bytes = vec![b'z'; 10_000];
+        for _ in 0..beyond / bytes.len() {
+            if writer.write_all(&bytes).is_err() {
+                return;
             }
-        };
-        ends.push((id.clone(), end));
-    }
-    ends
+        }
+    });
+    let _ = stream.set_read_timeout(Some(OWED_WITHIN));
+    let mut bytes = [0; 4096];
+    let read = stream.read(&mut bytes).unwrap_or(0);
+    let first = String::from_utf8_lossy(&bytes[..read]).lines().next().unwrap_or("no answer").to_owned();
+    record.line(format!("bad client {number}: {id}: {first}"));
+    let _ = stream.shutdown(Shutdown::Both);
+    let _ = sender.join();
+    first
 }
 
-/// Sends the writes of a client on one connection, each after the answer to the one before.
-fn send_one_by_one(listen: &str, client: usize, writes: &[(String, String)], record: &Record) -> Vec<(String, End)> {
-    let mut ends = Vec::new();
-    for write in writes {
-        ends.extend(send_at_once(listen, client, std::slice::from_ref(write), record));
-        thread::sleep(Duration::from_millis(10));
+/// A usual client: asks for one object after the other. Returns how many requests got no answer.
+fn ask_as_usual(listen: &str, number: u64, done: &AtomicBool, record: &Record) -> usize {
+    let mut random = Random(unix_ms() * 7 + number);
+    while !done.load(Ordering::Relaxed) {
+        let (id, object) = (format!("{:016x}", random.next()), format!("{:016x}", random.next()));
+        let Some(mut client) = Client::connect(listen) else { return 0 };
+        record.line(format!("usual client {number}: sends guide-videos {object} as {id}"));
+        let is_sent = client.send(&get("guide-videos", &object, &id, 5000, 2850.0));
+        let answer = client.answer(Instant::now() + Duration::from_millis(5500));
+        record.line(format!("usual client {number}: {id}: {:?}", answer.as_ref().map(|answer| answer.status)));
+        if is_sent && answer.is_err() {
+            return 1;
+        }
     }
-    ends
+    0
 }
--- a/review/standins/mod.rs
+++ b/review/standins/mod.rs
@@ -405,9 +405,21 @@
 /// The configuration of a director of the site ledger-branches, in the form of the deployment page, with the
 /// settings of the wire page's example.
 pub fn config(listen: &str, ops: &str, board: &str, members: &[String], classes: [&str; 3]) -> String {
+    config_with_memory(listen, ops, board, members, classes, 192)
+}
+
+/// The same with this limit on memory, in MB.
+pub fn config_with_memory(
+    listen: &str,
+    ops: &str,
+    board: &str,
+    members: &[String],
+    classes: [&str; 3],
+    memory_mb: u64,
+) -> String {
     format!(
         r#"{{"name":"n1","listen":"{listen}","ops":"{ops}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},
 "board":"{board}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
 "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"revision":1,"complete":true,"members":[{members}]}}}}]}},
 "settings":{{"balancers":3,
@@ -464,6 +476,7 @@
             .stderr(log)
             .spawn()
             .ok()?;
+        STARTED.lock().unwrap().push(child.id());
         let director = Director { listen: listen.to_owned(), ops: ops.to_owned(), child, folder };
         record.line(format!("platform: started a director ({run}), clients at {listen}"));
         for _ in 0..1000 {
@@ -494,6 +507,11 @@
         self.child.id()
     }
 
+    /// Returns the memory of the director's process in KiB, or `None` once it has ended.
+    pub fn memory_kib(&self) -> Option<u64> {
+        memory_kib(self.pid())
+    }
+
     /// Returns whether the director has exited.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
@@ -527,6 +545,14 @@
     }
 }
 
+/// Returns the memory of a process's own in KiB (resident, without what is mapped from files, such as the
+/// program), or `None` once it has ended.
+pub fn memory_kib(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    line.trim().split(' ').next()?.parse().ok()
+}
+
 fn alive(listen: &str) -> bool {
     let Ok(mut stream) = TcpStream::connect(listen) else { return false };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
@@ -633,7 +659,10 @@
 
 // ---- the run ----
 
-/// Ends the process once the time of a case is over.
+/// The directors that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the process, with all that it started, once the time of a case is over.
 pub fn limit_time(seconds: u64) -> Arc<AtomicBool> {
     let done = Arc::new(AtomicBool::new(false));
     let is_done = done.clone();
@@ -641,6 +670,9 @@
         thread::sleep(Duration::from_secs(seconds));
         if !is_done.load(Ordering::Relaxed) {
             eprintln!("the case took too long");
+            for pid in STARTED.lock().unwrap().iter() {
+                let _ = Command::new("/bin/sh").args(["-c", "kill -KILL \"$0\"", &pid.to_string()]).status();
+            }
             std::process::exit(COULD_NOT_RUN);
         }
     });
