--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -20,7 +20,7 @@
     run_as_server();
     let arguments = Arguments::read();
     limit_time(110);
-    let record = Record::create(&arguments.folder);
+    let record = Record::create(&arguments.record);
     std::process::exit(run(&arguments, &record));
 }
 
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -29,7 +29,7 @@
 fn main() {
     let arguments = Arguments::read();
     limit_time(110);
-    let record = Record::create(&arguments.folder);
+    let record = Record::create(&arguments.record);
     std::process::exit(run(&arguments, &record));
 }
 
--- a/review/standins/mod.rs
+++ b/review/standins/mod.rs
@@ -24,8 +24,9 @@
 pub struct Record(Arc<(Instant, Mutex<Box<dyn Write + Send>>)>);
 
 impl Record {
-    pub fn create(folder: &Path) -> Record {
-        let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
+    /// Begins the file `record.txt` in the case's folder.
+    pub fn create(path: &Path) -> Record {
+        let file = File::create(path).expect("record.txt can be written");
         Record(Arc::new((Instant::now(), Mutex::new(Box::new(file)))))
     }
 
@@ -679,11 +680,11 @@
     done
 }
 
-/// What a script passes to a case: the repository's root, the case's folder, the command `run` of the deploy
+/// What a script passes to a case: the repository's root, the path of its `record.txt`, the command `run` of the deploy
 /// file, and whether there is a disruption.
 pub struct Arguments {
     pub root: PathBuf,
-    pub folder: PathBuf,
+    pub record: PathBuf,
     pub run: String,
     pub trouble: bool,
 }
@@ -694,7 +695,7 @@
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         Arguments {
             root: PathBuf::from(&words[1]),
-            folder: PathBuf::from(&words[2]),
+            record: PathBuf::from(&words[2]),
             run: words[3].clone(),
             trouble,
         }
