--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -408,6 +408,12 @@
         fs::create_dir_all(&folder).expect("a temporary folder");
         let path = case.join("record.txt");
         let record = Record::create(&path);
+        // A fault of the case itself ends it as one that could not run.
+        std::panic::set_hook(Box::new(|panic| {
+            eprintln!("{panic}");
+            end_children();
+            std::process::exit(COULD_NOT_RUN);
+        }));
         thread::spawn(|| {
             sleep_ms(110_000);
             end_children();
@@ -436,7 +442,8 @@
 }
 
 pub fn end_children() {
-    for child in CHILDREN.lock().unwrap().iter_mut() {
+    let mut children = CHILDREN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    for child in children.iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
     }
