--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,9 +5,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in review/[0-9]*/case-2.rs; do
-    number=$(basename "$(dirname "$case")")
-    rustc --edition 2021 -O -o "target/review-2/case-$number" "$case"
+for number in 6 7 8 9 10; do
+    rustc --edition 2021 -O -o "target/review-2/case-$number" "review/$number/case.rs"
 done
 built=target/review-2/libraries.json
 cargo build --locked --release --features axum --example axum --message-format=json >"$built"
