--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -400,13 +400,12 @@
 }
 
 impl Run {
-    /// Begins a run. The first argument is the folder of the case. Ends the run after 110 s.
+    /// Begins a run. The first argument is the path of `record.txt`. Ends the run after 110 s.
     pub fn begin() -> Run {
-        let case = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
+        let path = PathBuf::from(std::env::args().nth(1).expect("the path of record.txt"));
         let root = std::env::current_dir().expect("the root of the repository");
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
-        let path = case.join("record.txt");
         let record = Record::create(&path);
         // A fault of the case itself ends it as one that could not run.
         std::panic::set_hook(Box::new(|panic| {
