--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -54,6 +54,7 @@
     Request {
         id: RequestId(n),
         class: (hash % 2) as usize,
+        settings: None,
         object: ObjectId(hash % objects),
         part: (hash % 3) as u32,
         group: Some((hash % 32) as u32),
--- a/src/config/settings/codec.rs
+++ b/src/config/settings/codec.rs
@@ -203,7 +203,6 @@
         stale_grace: micros(at_index(&lists.stale_graces_ms, 0.0)),
         stale_weight_share: at_index(&lists.stale_weight_shares, 1.0),
         write: lists.writes.get(index).copied().unwrap_or(false),
-        retired: false,
     })
 }
 
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -86,9 +86,11 @@
     }
 }
 
-/// Returns the longest deadline of all classes, at least [`MIN_LONGEST_DEADLINE`].
+/// Returns the longest deadline of all classes, at least [`MIN_LONGEST_DEADLINE`]. Pending requests may have
+/// begun under earlier settings with a longer one.
 fn longest_deadline(dispatcher: &Dispatcher) -> Duration {
-    let settings = dispatcher.settings();
-    let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let settings = dispatcher.settings_in_use();
+    let classes = settings.iter().flat_map(|settings| &settings.classes);
+    let longest = classes.map(|class| class.deadline).max().unwrap_or(0);
     Duration::from_micros(longest).max(MIN_LONGEST_DEADLINE)
 }
--- a/src/dispatch/actor/attempts.rs
+++ b/src/dispatch/actor/attempts.rs
@@ -89,7 +89,7 @@
     fn upstream_request(&self, plan: &AttemptPlan, pending: &PendingRequest) -> UpstreamRequest {
         let (request, mut fill) = (&pending.request, plan.fill);
         if let Some(fill) = fill.as_mut() {
-            let freshness_lifetime = self.settings.classes[request.class].freshness_lifetime;
+            let freshness_lifetime = request.rules.class().freshness_lifetime;
             let unix = self.clock.unix();
             self.purges.limit_age(fill, pending.object, request.group, freshness_lifetime, unix);
         }
@@ -98,7 +98,7 @@
         UpstreamRequest {
             attempt_id: plan.id,
             id: request.id.clone(),
-            class: self.counters.class_name(request.class).clone(),
+            class: pending.class_name.clone(),
             object: request.object.clone(),
             part: request.part,
             deadline: self.clock.instant(plan.timeout_at),
@@ -116,12 +116,13 @@
         }
     }
 
-    /// Returns how long an attempt may wait before it is sent, in microseconds.
+    /// Returns how long an attempt may wait before it is sent, in microseconds. The grace periods are those
+    /// in force, because they protect servers.
     fn max_send_delay(&self, pending: &PendingRequest, now: Micros) -> Micros {
         let grace_periods = [self.settings.drain_grace, self.settings.purge_grace];
         let shortest = grace_periods.into_iter().filter(|grace| *grace > 0).min();
         let delay = shortest.map_or(MAX_SEND_DELAY, |grace| (grace / 2).min(MAX_SEND_DELAY));
-        match (&self.settings.classes[pending.request.class].idempotency, pending.first_sent()) {
+        match (&pending.request.rules.class().idempotency, pending.first_sent()) {
             // Servers recognize a retry only within this window after the first attempt. The policy read the
             // clock before the attempt was queued, so the rest of the window limits the delay.
             (Idempotency::IdempotencyKey { window, .. }, Some(first_sent)) => {
@@ -213,10 +214,10 @@
         if request_finished {
             pending.cancellation.cancel();
         }
-        let class = pending.request.class;
+        let class_name = pending.class_name.clone();
         self.log_attempt(&attempt, &end);
         if let (Some(responder), Some(response)) = (responder, response.and_then(client_response)) {
-            self.respond(class, responder, response);
+            self.respond(&class_name, responder, response);
         }
         self.events.push_back(Event::AttemptEnded(AttemptEnd { request_finished, ..end }));
         self.requests.remove_if_complete(request);
--- a/src/dispatch/actor/mod.rs
+++ b/src/dispatch/actor/mod.rs
@@ -72,7 +72,6 @@
 ) -> Result<RunningDispatcher, SettingsError> {
     let router = Router::new(settings.clone(), seed)?;
     let (mailbox, inbox) = mpsc::channel(MAILBOX_CAPACITY);
-    let counters = Counters::new(&settings);
     let (settings, published) = PublishedSettings::new(settings);
     let mut actor = Actor {
         router,
@@ -85,7 +84,7 @@
         health_checks: HealthChecks::default(),
         cancellations: CancellationLog::default(),
         purges: PurgeRecords::default(),
-        counters,
+        counters: Counters::default(),
         events: VecDeque::new(),
     };
     for message in initial {
@@ -218,18 +217,23 @@
 
     /// Applies new settings. The zones and kinds by which endpoint lists are interpreted stay unchanged,
     /// because the present members were assigned by them.
+    ///
+    /// Requests that have chosen their class keep their own settings, wherever they wait.
     fn update_settings(&mut self, later: Settings) {
-        let in_use = |class: usize| self.requests.uses_class(class);
         let settings = Settings {
             zones: self.settings.zones.clone(),
             zone: self.settings.zone,
             kinds: self.settings.kinds.clone(),
             parent_kind: self.settings.parent_kind,
             origin_kind: self.settings.origin_kind,
-            ..self.settings.updated_to(later, in_use)
+            ..later
         };
-        self.counters.update_classes(&settings);
+        // Includes the settings that are replaced here, so that the last counts of a removed class can still
+        // be read.
+        let mut counted = self.settings.in_use();
         self.settings.replace(settings.clone());
+        counted.extend(self.settings.in_use());
+        self.counters.retain_classes(&counted);
         self.events.push_back(Event::Settings(Box::new(settings)));
     }
 
@@ -264,7 +268,8 @@
                 cancelled_requests: self.cancellations.waiting(),
                 servers: self.endpoints.len(),
                 mailbox: self.endpoints.queued_reports(),
-                classes: self.counters.class_count(),
+                classes: self.settings.in_use().iter().map(|settings| settings.classes.len()).sum(),
+                class_estimates: self.router.class_estimates(),
             },
         }
     }
--- a/src/dispatch/actor/requests.rs
+++ b/src/dispatch/actor/requests.rs
@@ -6,7 +6,8 @@
 use crate::dispatch::pending_requests::{response_deadline, PendingRequest};
 use crate::dispatch::timers::Timer;
 use crate::dispatch::{ClientResponse, EndpointConnector, FailureReason, SubmittedRequest};
-use crate::policy::types::{Event, Idempotency, Micros, RequestId};
+use crate::policy::types::{Event, Micros, RequestId};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -20,24 +21,23 @@
     /// Accepts a request, or ends it immediately if it cannot be accepted.
     pub(super) fn accept_request(&mut self, submitted: SubmittedRequest) {
         let now = self.clock.now();
-        let class = submitted.request.class;
+        let class_name = || submitted.request.rules.class().name.as_str().into();
         if self.requests.is_full() {
             // The request is rejected immediately. This is harmless, because nothing has run.
             let retry_after = Some(OVERLOAD_RETRY_AFTER);
             let rejected = ClientResponse::Rejected { retry_after, reason: FailureReason::Overloaded };
-            return self.respond(class, submitted.responder, rejected);
+            return self.respond(&class_name(), submitted.responder, rejected);
         }
         if submitted.responder.is_closed() || submitted.cancellation.is_cancelled() {
             // The client disconnected while the request waited in the mailbox, so nothing is sent to servers.
-            let class = self.counters.class_name(class).clone();
             let proof = ExecutionProof::NeverRan;
-            return self.record_cancellation(Some(ProvenCancellation { class, proof }));
+            return self.record_cancellation(Some(ProvenCancellation { class: class_name(), proof }));
         }
         // Protects the first of two requests with the same id: servers would mistake the second for the
         // first, or give either one the other's response.
         if self.requests.contains_forwarded_id(&submitted.request.id) {
             let failed = ClientResponse::Failed(FailureReason::DuplicateRequest);
-            return self.respond(class, submitted.responder, failed);
+            return self.respond(&class_name(), submitted.responder, failed);
         }
         self.add_request(submitted, now);
     }
@@ -48,7 +48,7 @@
         let span = tracing::debug_span!(
             "request",
             id = &*submitted.request.id,
-            class = &**self.counters.class_name(submitted.request.class)
+            class = &*submitted.request.rules.class().name
         );
         let pending = PendingRequest::new(submitted, deadline, span);
         let policy_request = pending.policy_request(id);
@@ -93,10 +93,8 @@
     /// class that must not run twice, the request fails: a rejection would mean that it is safe to repeat.
     pub(super) fn expire_request(&mut self, id: RequestId) {
         let Some(pending) = self.requests.waiting(id) else { return };
-        let class = self.settings.classes.get(pending.request.class);
-        let idempotency = class.map_or(Idempotency::AtMostOnce, |c| c.idempotency);
         let reason = FailureReason::CredentialExpired;
-        let response = if pending.is_safe_to_retry(idempotency) {
+        let response = if pending.is_safe_to_retry() {
             ClientResponse::Rejected { retry_after: None, reason }
         } else {
             ClientResponse::Failed(reason)
@@ -112,7 +110,7 @@
         let Some(pending) = self.requests.get_mut(id).filter(|pending| pending.is_waiting()) else { return };
         pending.responder = None;
         pending.cancellation.cancel();
-        let class = self.counters.class_name(pending.request.class);
+        let class = &pending.class_name;
         let (ended_attempts, in_flight) = (pending.proof_of_ended_attempts(), pending.attempts_in_flight());
         match self.cancellations.request_cancelled(id, class, ended_attempts, in_flight) {
             Some(proven) => self.record_cancellation(Some(proven)),
@@ -162,10 +160,10 @@
     /// gets no second response.
     fn complete_request(&mut self, id: RequestId, response: ClientResponse) {
         if let Some(pending) = self.requests.get_mut(id) {
-            let class = pending.request.class;
+            let class_name = pending.class_name.clone();
             if let Some(responder) = pending.responder.take() {
                 pending.cancellation.cancel();
-                self.respond(class, responder, response);
+                self.respond(&class_name, responder, response);
             }
         }
         self.requests.remove_if_complete(id);
@@ -175,10 +173,10 @@
     /// it, and notifies the policy.
     fn end_and_notify_policy(&mut self, id: RequestId, response: Option<ClientResponse>) {
         let Some(pending) = self.requests.get_mut(id) else { return };
-        let class = pending.request.class;
+        let class_name = pending.class_name.clone();
         pending.cancellation.cancel();
         if let (Some(responder), Some(response)) = (pending.responder.take(), response) {
-            self.respond(class, responder, response);
+            self.respond(&class_name, responder, response);
         }
         self.events.push_back(Event::ClientCancelled(id));
         self.requests.remove_if_complete(id);
@@ -187,11 +185,11 @@
     /// Sends a response to the client and counts it.
     pub(super) fn respond(
         &mut self,
-        class: usize,
+        class_name: &Arc<str>,
         responder: oneshot::Sender<ClientResponse>,
         response: ClientResponse,
     ) {
-        self.counters.record_response(class, &response);
+        self.counters.record_response(class_name, &response);
         let _ = responder.send(response); // the client may have disconnected
     }
 }
--- a/src/dispatch/handle.rs
+++ b/src/dispatch/handle.rs
@@ -1,12 +1,13 @@
 //! The handle that frontends and middleware use, and the future of a request's response.
 
 use super::naming::mix;
+use super::published_settings::SettingsVersions;
 use crate::dispatch::request::{ClientRequest, ClientResponse, FailureReason};
 use crate::dispatch::{
     CancellationToken, Client, DispatcherMessage, DispatcherMetrics, DispatcherSender, DrainCommand,
     SubmittedRequest,
 };
-use crate::policy::types::{RequestId, Settings};
+use crate::policy::types::{RequestId, RequestRules, Settings};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,21 +28,32 @@
     mailbox: mpsc::Sender<DispatcherMessage>,
     next_number: Arc<AtomicU64>,
     seed: u64,
-    settings: watch::Receiver<Arc<Settings>>,
+    settings: watch::Receiver<SettingsVersions>,
 }
 
 impl Dispatcher {
     pub(super) fn new(
         mailbox: mpsc::Sender<DispatcherMessage>,
         seed: u64,
-        settings: watch::Receiver<Arc<Settings>>,
+        settings: watch::Receiver<SettingsVersions>,
     ) -> Self {
         Dispatcher { mailbox, next_number: Arc::new(AtomicU64::new(1)), seed, settings }
     }
 
     /// Returns the settings in force.
     pub fn settings(&self) -> Arc<Settings> {
-        self.settings.borrow().clone()
+        self.settings.borrow().current.clone()
+    }
+
+    /// Returns the settings in force and earlier ones that apply to requests that began under them.
+    pub fn settings_in_use(&self) -> Vec<Arc<Settings>> {
+        self.settings.borrow().in_use()
+    }
+
+    /// Returns the rules for a request of the class with this name, or `None` if the settings in force have
+    /// no such class. They stay valid for the request, however often the settings change.
+    pub fn class_rules(&self, class_name: &str) -> Option<RequestRules> {
+        RequestRules::of_class(self.settings(), class_name)
     }
 
     /// Returns the metrics, or `None` if the actor has ended.
--- a/src/dispatch/metrics.rs
+++ b/src/dispatch/metrics.rs
@@ -52,8 +52,11 @@
     pub servers: usize,
     /// Messages queued in the mailbox; at most 4,096.
     pub mailbox: usize,
-    /// Classes in the settings, including retired ones.
+    /// Classes in the settings in force, and in each of the earlier settings that a request still uses.
     pub classes: usize,
+    /// Classes of which the policy has estimates: those in the settings in force, and those of pending
+    /// requests.
+    pub class_estimates: usize,
 }
 
 impl TableSizes {
@@ -62,7 +65,7 @@
         self.sizes().iter().zip(limits.sizes()).all(|(size, limit)| *size <= limit)
     }
 
-    fn sizes(&self) -> [usize; 8] {
+    fn sizes(&self) -> [usize; 9] {
         [
             self.pending_requests,
             self.attempts_in_flight,
@@ -72,6 +75,7 @@
             self.servers,
             self.mailbox,
             self.classes,
+            self.class_estimates,
         ]
     }
 }
--- a/src/dispatch/pending_requests.rs
+++ b/src/dispatch/pending_requests.rs
@@ -35,6 +35,7 @@
 /// A request that has not been answered, or that has attempts in flight.
 pub(super) struct PendingRequest {
     pub(super) request: ClientRequest,
+    pub(super) class_name: Arc<str>,
     pub(super) object: ObjectId,
     /// `None` once the request is answered or cancelled.
     pub(super) responder: Option<oneshot::Sender<ClientResponse>>,
@@ -58,6 +59,7 @@
     /// Creates a pending request without attempts.
     pub(super) fn new(submitted: SubmittedRequest, deadline: Micros, span: tracing::Span) -> Self {
         PendingRequest {
+            class_name: submitted.request.rules.class().name.as_str().into(),
             object: ObjectId(object_number(&submitted.request.object)),
             request: submitted.request,
             responder: Some(submitted.responder),
@@ -76,7 +78,8 @@
     pub(super) fn policy_request(&self, id: RequestId) -> Request {
         Request {
             id,
-            class: self.request.class,
+            class: self.request.rules.class_index(),
+            settings: Some(self.request.rules.settings().clone()),
             object: self.object,
             part: self.request.part.unwrap_or(0),
             group: self.request.group,
@@ -107,8 +110,8 @@
     }
 
     /// Returns whether the client can repeat the request without harm.
-    pub(super) fn is_safe_to_retry(&self, idempotency: Idempotency) -> bool {
-        idempotency == Idempotency::Idempotent || self.attempts_maybe_run == 0
+    pub(super) fn is_safe_to_retry(&self) -> bool {
+        self.request.rules.class().idempotency == Idempotency::Idempotent || self.attempts_maybe_run == 0
     }
 
     /// Returns why no server has served the request so far.
@@ -213,11 +216,6 @@
         }
     }
 
-    /// Returns whether a request of the class at index `class` is pending.
-    pub(super) fn uses_class(&self, class: usize) -> bool {
-        self.requests.values().any(|pending| pending.request.class == class)
-    }
-
     /// Returns the size of the larger of the two tables.
     pub(super) fn len(&self) -> usize {
         self.requests.len().max(self.forwarded_ids.len())
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -1,6 +1,6 @@
 //! Requests of clients and their responses, independent of the frontend. Types without clock or I/O.
 
-use crate::policy::types::Micros;
+use crate::policy::types::{Micros, RequestRules};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,12 +12,12 @@
 const MAX_NAME_BYTES: usize = 256;
 
 /// A client's request, in the same form from every frontend.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ClientRequest {
     /// The id under which it is forwarded to servers.
     pub id: Arc<str>,
-    /// Index of the class in the settings.
-    pub class: usize,
+    /// Its class, and the settings in force when the class was chosen. They apply to it until its end.
+    pub rules: RequestRules,
     /// The object's name.
     pub object: Arc<str>,
     /// The part of the object. `None` if the client named none.
@@ -43,6 +43,26 @@
     pub credential_expires_at: Option<Micros>,
 }
 
+impl ClientRequest {
+    /// Creates a request with these rules and the timeout of its class. All other fields are empty.
+    pub fn new(rules: RequestRules) -> Self {
+        ClientRequest {
+            id: Arc::default(),
+            timeout: Duration::from_micros(rules.class().deadline),
+            rules,
+            object: Arc::default(),
+            part: None,
+            group: None,
+            size_kb: 0.0,
+            is_retry: false,
+            if_none_match: None,
+            idempotency_key: None,
+            body: Bytes::new(),
+            credential_expires_at: None,
+        }
+    }
+}
+
 /// A representation of an object, as served by a server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Representation {
--- a/src/frontend/metrics.rs
+++ b/src/frontend/metrics.rs
@@ -3,6 +3,7 @@
 use super::http::{RequestHead, Response};
 use super::serve::Frontend;
 use crate::dispatch::{ClientRequest, ClientResponse};
+use crate::policy::types::Settings;
 use crate::signed::OutcomeCounters;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -27,7 +28,7 @@
         Err(Response { body, ..Response::empty(200) }.with_header("Content-Type", CONTENT_TYPE.into()))
     }
 
-    fn to_response(&self, _: ClientResponse) -> Response {
+    fn to_response(&self, _: ClientResponse, _: &Settings) -> Response {
         Response::empty(404) // parse_request never returns a request to dispatch
     }
 }
--- a/src/frontend/platform.rs
+++ b/src/frontend/platform.rs
@@ -4,7 +4,7 @@
 //! | HTTP | meaning |
 //! | --- | --- |
 //! | `GET /alive` | readiness: 200, or 503 after the dispatcher has ended |
-//! | `/ops/CLASS/OBJECT` | [`ClientRequest::class`] and [`ClientRequest::object`] |
+//! | `/ops/CLASS/OBJECT` | [`ClientRequest::rules`] and [`ClientRequest::object`] |
 //! | `?block=NUMBER` | [`ClientRequest::part`] |
 //! | `X-Job-Id` | [`ClientRequest::id`] |
 //! | `X-Family` | [`ClientRequest::group`] |
@@ -26,6 +26,7 @@
 use crate::dispatch::{
     bare_tag, is_name, ClientRequest, ClientResponse, Dispatcher, FailureReason, Representation,
 };
+use crate::policy::types::{RequestRules, Settings};
 use bytes::Bytes;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
@@ -72,9 +73,8 @@
             return Err(Response::empty(self.readiness_status(&head.method)));
         }
         let target = Target::parse(&head.target).ok_or_else(|| Response::empty(404))?;
-        let settings = self.0.settings();
-        let class = settings.class_index(target.class).ok_or_else(|| Response::empty(404))?;
-        let is_write = settings.classes[class].write;
+        let rules = self.0.class_rules(target.class).ok_or_else(|| Response::empty(404))?;
+        let is_write = rules.class().write;
         let method = if is_write { "PUT" } else { "GET" };
         if head.method != method {
             return Err(Response::empty(405).with_header("Allow", method.into()));
@@ -84,12 +84,11 @@
         if !is_write && !body.is_empty() {
             return Err(bad_request(BadRequest::Malformed));
         }
-        let default_timeout = Duration::from_micros(settings.classes[class].deadline);
-        let request = parse_fields(head, &target, default_timeout).map_err(bad_request)?;
-        Ok(ClientRequest { class, body, ..request })
+        let request = parse_fields(head, &target, rules).map_err(bad_request)?;
+        Ok(ClientRequest { body, ..request })
     }
 
-    fn to_response(&self, answer: ClientResponse) -> Response {
+    fn to_response(&self, answer: ClientResponse, settings: &Settings) -> Response {
         match answer {
             ClientResponse::Served(Representation { etag, body }) => {
                 let response = Response { body, ..Response::empty(200) };
@@ -97,7 +96,7 @@
             }
             ClientResponse::NotModified(etag) => with_etag(Response::empty(304), etag),
             ClientResponse::Rejected { retry_after, .. } => {
-                match retry_after.and_then(|wait| self.effective_retry_after(wait)) {
+                match retry_after.and_then(|wait| effective_retry_after(wait, settings)) {
                     Some(wait) => {
                         let milliseconds = wait.as_millis().max(1).to_string();
                         Response::empty(503).with_header(RETRY_AFTER_MS, milliseconds)
@@ -121,14 +120,13 @@
             _ => 405,
         }
     }
+}
 
-    /// Returns the retry-after sent to the client, capped at the longest that clients respect
-    /// (`max_retry_after`). Returns `None` if clients ignore it (`retry_after` is off) or if it is zero.
-    fn effective_retry_after(&self, wait: Duration) -> Option<Duration> {
-        let settings = self.0.settings();
-        let max_retry_after = Duration::from_micros(settings.max_retry_after);
-        settings.retry_after.then_some(wait.min(max_retry_after)).filter(|wait| !wait.is_zero())
-    }
+/// Returns the retry-after sent to the client, capped at the longest that clients respect
+/// (`max_retry_after`). Returns `None` if clients ignore it (`retry_after` is off) or if it is zero.
+fn effective_retry_after(wait: Duration, settings: &Settings) -> Option<Duration> {
+    let max_retry_after = Duration::from_micros(settings.max_retry_after);
+    settings.retry_after.then_some(wait.min(max_retry_after)).filter(|wait| !wait.is_zero())
 }
 
 /// A request target `/ops/CLASS/OBJECT?QUERY`, split into its components.
@@ -162,11 +160,11 @@
     Response::empty(error.status())
 }
 
-/// Parses all fields of the request except its class and body.
+/// Parses all fields of the request except its body. The timeout is that of the class by default.
 fn parse_fields(
     head: &RequestHead,
     target: &Target<'_>,
-    default_timeout: Duration,
+    rules: RequestRules,
 ) -> Result<ClientRequest, BadRequest> {
     let id = head.single_header(REQUEST_ID).filter(|id| is_hex_id(id)).ok_or(BadRequest::Malformed)?;
     let object = Some(target.object).filter(|object| is_hex_id(object)).ok_or(BadRequest::Malformed)?;
@@ -175,7 +173,7 @@
         return Err(BadRequest::Malformed);
     }
     let timeout_ms = parse_number(head, TIMEOUT_MS, TIMEOUTS_MS)?;
-    let timeout_ms = timeout_ms.unwrap_or(default_timeout.as_micros() as f64 / 1e3);
+    let request = ClientRequest::new(rules);
     let if_none_match = head.header(IF_NONE_MATCH).map(bare_tag).filter(|tag| is_name(tag));
     Ok(ClientRequest {
         id: id.into(),
@@ -184,10 +182,10 @@
         group: group.map(|group| group as u32),
         size_kb: parse_number(head, SIZE_KB, SIZES_KB)?.unwrap_or(0.0),
         is_retry: head.header(IS_RETRY).is_some_and(|value| value != FIRST_ATTEMPT),
-        timeout: Duration::from_secs_f64(timeout_ms / 1e3),
+        timeout: timeout_ms.map_or(request.timeout, |timeout| Duration::from_secs_f64(timeout / 1e3)),
         if_none_match: if_none_match.map(Into::into),
         idempotency_key: parse_idempotency_key(head)?,
-        ..ClientRequest::default()
+        ..request
     })
 }
 
--- a/src/frontend/serve/listener.rs
+++ b/src/frontend/serve/listener.rs
@@ -101,10 +101,11 @@
 impl<F: Frontend> Server<F> {
     /// Returns the response to a request that there is no capacity for.
     pub(super) fn rejection(&self) -> Response {
-        self.frontend.to_response(ClientResponse::Rejected {
+        let rejected = ClientResponse::Rejected {
             retry_after: Some(REJECT_RETRY_AFTER),
             reason: FailureReason::Overloaded,
-        })
+        };
+        self.frontend.to_response(rejected, &self.context.dispatcher.settings())
     }
 
     /// Logs that a request was rejected because the memory budget had no room for it.
--- a/src/frontend/serve/mod.rs
+++ b/src/frontend/serve/mod.rs
@@ -26,6 +26,7 @@
 use super::http::{RequestHead, Response};
 use crate::dispatch::{ClientRequest, ClientResponse, Dispatcher, MAX_WRITE_BYTES};
 use crate::memory::MemoryBudget;
+use crate::policy::types::Settings;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,9 +45,10 @@
         MAX_WRITE_BYTES
     }
 
-    /// Converts a response of the dispatcher to an HTTP response. This is the only place where the frontend
+    /// Converts a response of the dispatcher to an HTTP response, by the settings that apply to its request.
+    /// This is the only place where the frontend
     /// assigns HTTP statuses to the dispatcher's outcomes.
-    fn to_response(&self, answer: ClientResponse) -> Response;
+    fn to_response(&self, answer: ClientResponse, settings: &Settings) -> Response;
 }
 
 /// Phase of the graceful shutdown. The variants are in the order in which the phases occur.
--- a/src/frontend/serve/session.rs
+++ b/src/frontend/serve/session.rs
@@ -143,9 +143,10 @@
             Err(response) => response,
             Ok(client_request) => {
                 let client = self.connection.client();
+                let settings = client_request.rules.settings().clone();
                 let pending = self.server.context.dispatcher.submit_for_client(client_request, client);
                 tokio::select! {
-                    answer = pending => self.server.frontend.to_response(answer),
+                    answer = pending => self.server.frontend.to_response(answer, &settings),
                     // Dropping the pending response notifies the dispatcher that the client has disconnected.
                     () = self.connection.closed_by_client() => return AfterResponse::Close,
                 }
--- a/src/frontend/signed.rs
+++ b/src/frontend/signed.rs
@@ -4,6 +4,7 @@
 use super::serve::Frontend;
 use crate::discovery::watched_file::WatchedFile;
 use crate::dispatch::{bare_tag, ClientRequest, ClientResponse, Clock, Dispatcher};
+use crate::policy::types::Settings;
 use crate::signed::{
     self, CredentialError, Grant, HttpOutcome, InvalidRequest, KeyError, KeyFile, KeySet, OutcomeCounters,
 };
@@ -88,11 +89,11 @@
         let if_none_match = head.single_header("if-none-match").map(bare_tag);
         let id = self.dispatcher.generate_request_id();
         let settings = self.dispatcher.settings();
-        signed::parse_request(&settings, &head.method, &grant, id, if_none_match, body)
+        signed::parse_request(settings, &head.method, &grant, id, if_none_match, body)
             .map_err(|invalid| self.respond_invalid(invalid))
     }
 
-    fn to_response(&self, answer: ClientResponse) -> Response {
+    fn to_response(&self, answer: ClientResponse, _: &Settings) -> Response {
         self.respond(signed::to_http_outcome(Ok(answer)))
     }
 }
--- a/src/middleware/handler.rs
+++ b/src/middleware/handler.rs
@@ -87,7 +87,7 @@
         let etag = single_header(&parts.headers, &IF_NONE_MATCH).map(bare_tag);
         let (dispatcher, method) = (&self.handle.dispatcher, parts.method.as_str());
         let id = dispatcher.generate_request_id();
-        signed::parse_request(&dispatcher.settings(), method, &grant, id, etag, Bytes::new())
+        signed::parse_request(dispatcher.settings(), method, &grant, id, etag, Bytes::new())
     }
 
     fn submit(&self, request: ClientRequest, client: Option<&ClientHandle>) -> PendingResponse {
--- a/src/policy/attempt_outcome.rs
+++ b/src/policy/attempt_outcome.rs
@@ -6,6 +6,7 @@
 use crate::policy::outlier_detection::{CONNECTION_FAILURE_WEIGHT, FAILURE_WEIGHT, REQUEST_ERROR_WEIGHT};
 use crate::policy::requests::{Attempt, PendingRequest};
 use crate::policy::router::Router;
+use crate::policy::service_times::EstimateId;
 use crate::policy::types::{
     Action, AttemptEnd, CacheStatus, CacheStatusLevel, Micros, ObjectId, Outcome, RequestId, ServerId,
     Settings,
@@ -30,7 +31,9 @@
     server: ServerId,
     source: Option<ServerId>,
     reserved_tokens: f64,
-    class: usize,
+    /// The estimate of the service times of the request's class.
+    estimate: EstimateId,
+    is_write: bool,
     object: ObjectId,
     /// The request's transfer time, in microseconds.
     transfer_time: f64,
@@ -176,7 +179,8 @@
             server,
             source,
             reserved_tokens,
-            class: pending.request.class,
+            estimate: pending.estimate,
+            is_write: pending.rules.class().write,
             object: pending.request.object,
             transfer_time: pending.transfer_time,
             server_responds,
@@ -198,7 +202,7 @@
     }
 
     fn observe_admission(&mut self, end: &AttemptEnd, ended: &EndedAttempt) {
-        if self.settings.classes[ended.class].write {
+        if ended.is_write {
             return;
         }
         self.admission.observe_fill(&EndedFill {
@@ -227,7 +231,7 @@
             }
         }
         let elapsed = end.elapsed as f64;
-        self.service_times.record_response(ended.class, elapsed, ended.transfer_time);
+        self.service_times.record_response(ended.estimate, elapsed, ended.transfer_time);
         if end.cache_status == CacheStatus::Hit && self.endpoints.caches.contains(ended.server) {
             let expected = ended.transfer_time + HIT_OVERHEAD;
             self.congestion.record(ended.server.0, elapsed, expected, HIT_OBSERVATION_WEIGHT);
@@ -309,6 +313,7 @@
             return;
         };
         let is_only_attempt = pending.attempts.len() == 1;
+        let may_collapse = pending.rules.settings().request_collapsing;
         let Some(last) = pending.attempts.last_mut().filter(|attempt| attempt.in_flight) else { return };
         let is_unresponsive = |id: &ServerId| {
             self.endpoints.get(*id).is_some_and(|endpoint| !endpoint.health.responded_since(last.sent_at))
@@ -322,8 +327,7 @@
             return;
         }
         last.source_failed = false;
-        last.response_lost =
-            is_only_attempt && self.settings.request_collapsing && self.retry_budget.responses_get_lost();
+        last.response_lost = is_only_attempt && may_collapse && self.retry_budget.responses_get_lost();
         if last.response_lost {
             self.send_retry(now, id, actions);
         }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -40,8 +40,8 @@
     /// cache can be used. Writes go directly to the origin where the platform allows direct requests. Returns
     /// `None` if there is no route.
     fn select_route(&mut self, now: Micros, pending: &PendingRequest) -> Option<Route> {
-        let is_write = self.settings.classes[pending.request.class].write;
-        if is_write && self.settings.direct_requests {
+        let direct_requests = pending.rules.settings().direct_requests;
+        if pending.rules.class().write && direct_requests {
             if let Some(origin) = self.endpoints.origin.filter(|id| self.may_write_to(now, *id, pending)) {
                 return Some(Route { server: origin, source: None, only_if_cached: false });
             }
@@ -49,7 +49,7 @@
         if let Some(cache) = self.select_cache(now, pending) {
             return self.route_by_cache(now, pending, cache);
         }
-        if !self.settings.direct_requests {
+        if !direct_requests {
             return None;
         }
         let source = self.select_source(now, pending).filter(|id| self.is_safe_attempt(now, *id, pending))?;
@@ -62,7 +62,7 @@
     }
 
     fn is_safe_attempt(&self, now: Micros, server: ServerId, pending: &PendingRequest) -> bool {
-        is_safe_attempt(&self.settings, &self.endpoints, pending, server, now)
+        is_safe_attempt(&self.endpoints, pending, server, now)
     }
 
     /// Returns the route through a cache, with a source for its fill if admission control allows a fill.
@@ -72,11 +72,10 @@
         if pending.is_first_attempt() && self.is_too_slow(now, pending, cache) {
             return None;
         }
-        let class = pending.request.class;
-        let class_transfer_time = self.service_times.of_class(class).transfer_time;
+        let class_transfer_time = self.service_times.get(pending.estimate).transfer_time;
         let relative_size = class_transfer_time / self.service_times.max_transfer_time();
         // A write is never cached, so sending it without a source would be useless. Admission does not apply.
-        let is_write = self.settings.classes[class].write;
+        let is_write = pending.rules.class().write;
         let link_admits = is_write || self.admission.admits_to_zone_link(relative_size, &mut self.random);
         let may_fill = is_write || link_admits && self.admission.admits_to_origin(&mut self.random);
         let source = if may_fill { self.select_source(now, pending) } else { None };
@@ -90,8 +89,7 @@
     /// Returns the fill that an attempt asks for: source, cache rank and greatest acceptable age of a copy.
     /// Returns `None` for a write without a source.
     fn fill_for(&self, now: Micros, pending: &PendingRequest, route: &Route) -> Option<Fill> {
-        let request = &pending.request;
-        let class = &self.settings.classes[request.class];
+        let (request, class) = (&pending.request, pending.rules.class());
         if class.write && route.source.is_none() {
             return None;
         }
@@ -109,7 +107,7 @@
             source: route.source.unwrap_or(route.server),
             cache_rank,
             max_age: purge_age.map_or(max_age, |age| if max_age > 0 { age.min(max_age) } else { age }),
-            collapse: self.settings.request_collapsing && purge_age.is_none() && !bypasses_cache,
+            collapse: pending.rules.settings().request_collapsing && purge_age.is_none() && !bypasses_cache,
             only_if_cached: route.only_if_cached && route.source.is_some(),
             revalidate: has_lifetime && requested_before && !bypasses_cache,
         })
@@ -119,7 +117,7 @@
     /// or after a source failed, a stale copy within the class's grace time is better than no response
     /// (stale-if-error, RFC 5861).
     fn max_copy_age(&self, pending: &PendingRequest, route: &Route) -> Micros {
-        let class = &self.settings.classes[pending.request.class];
+        let class = pending.rules.class();
         let stale_if_error = class.freshness_lifetime > 0
             && (route.source.is_none() || pending.attempts.iter().any(|attempt| attempt.source_failed));
         if stale_if_error {
@@ -133,7 +131,7 @@
     /// behind a cache; 0 without such a source.
     fn reserve_capacity(&mut self, now: Micros, pending: &PendingRequest, route: &Route) -> f64 {
         let slow_start = SlowStart { settings: &self.settings, service_times: &self.service_times };
-        let class_transfer_time = self.service_times.of_class(pending.request.class).transfer_time;
+        let class_transfer_time = self.service_times.get(pending.estimate).transfer_time;
         let transfer_time = if route.is_direct() { pending.transfer_time } else { class_transfer_time };
         if let Some(server) = self.endpoints.get_mut(route.server) {
             slow_start.spend(server, transfer_time, now);
--- a/src/policy/cache_selection.rs
+++ b/src/policy/cache_selection.rs
@@ -54,7 +54,7 @@
     /// start without tokens.
     fn usable_caches(&mut self, now: Micros, pending: &PendingRequest) -> Vec<ServerId> {
         let object = pending.request.object;
-        let class_transfer_time = self.service_times.of_class(pending.request.class).transfer_time;
+        let class_transfer_time = self.service_times.get(pending.estimate).transfer_time;
         let order = &mut self.objects.entry(object, now).cache_order;
         let mut caches = order.candidates(object, &self.endpoints.caches, self.endpoints.list_version);
         let spread = caches.len().min(MAX_CACHES_PER_OBJECT);
@@ -66,7 +66,7 @@
             let is_usable = !endpoint.health.is_overloaded(now)
                 && pending.may_use_server(*id)
                 && endpoint.is_available(now)
-                && is_safe_attempt(&self.settings, &self.endpoints, pending, *id, now);
+                && is_safe_attempt(&self.endpoints, pending, *id, now);
             is_usable
                 && self
                     .endpoints
@@ -115,7 +115,7 @@
 
     /// Returns whether a response from this cache would come too late to be of much use.
     pub(super) fn is_too_slow(&self, now: Micros, pending: &PendingRequest, cache: ServerId) -> bool {
-        let class = self.service_times.of_class(pending.request.class);
+        let class = self.service_times.get(pending.estimate);
         would_miss_objective(pending, class, self.congestion_of(cache), now)
     }
 
--- a/src/policy/fill_source.rs
+++ b/src/policy/fill_source.rs
@@ -131,7 +131,7 @@
     /// full.
     pub(super) fn select_source(&mut self, now: Micros, pending: &PendingRequest) -> Option<ServerId> {
         let origin = self.endpoints.origin;
-        if self.settings.classes[pending.request.class].write {
+        if pending.rules.class().write {
             return origin;
         }
         let mut sources = self.parents_in_hash_order(now, pending);
@@ -152,7 +152,7 @@
     /// parent can't be used.
     pub(super) fn select_cached_source(&mut self, now: Micros, pending: &PendingRequest) -> Option<ServerId> {
         let first = *self.parents_in_hash_order(now, pending).first()?;
-        let is_eligible = !self.settings.classes[pending.request.class].write
+        let is_eligible = !pending.rules.class().write
             && pending.is_first_attempt()
             && !self.endpoints[first].health.is_overloaded(now);
         (is_eligible && self.can_fill(now, first, pending)).then_some(first)
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -1,8 +1,9 @@
 //! Pending requests and their attempts.
 
 use crate::policy::placement::Popularity;
-use crate::policy::types::{Micros, Request, RequestId, ServerId};
-use std::collections::BTreeMap;
+use crate::policy::service_times::EstimateId;
+use crate::policy::types::{Micros, Request, RequestId, RequestRules, ServerId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The route of an attempt: a server, and the source if the server has to fill.
 pub(super) struct Route {
@@ -63,20 +64,27 @@
 /// A request without a final response, or with attempts in flight.
 pub(super) struct PendingRequest {
     pub(super) request: Request,
+    pub(super) rules: RequestRules,
+    /// The estimate of the service times of the request's class.
+    pub(super) estimate: EstimateId,
     pub(super) attempts: Vec<Attempt>,
     /// Transfer time in microseconds: from the size if it is known, otherwise an estimate.
     pub(super) transfer_time: f64,
     /// The time by which the response has to be complete to meet the latency objective.
     pub(super) objective_at: Micros,
     pub(super) popularity: Popularity,
-    /// Limit on attempts from the settings in force when the request arrived; 0 for no limit.
-    pub(super) max_attempts: u32,
     /// The final response was given, or the client no longer waits for it.
     pub(super) finished: bool,
     pub(super) response_started: bool,
 }
 
 impl PendingRequest {
+    /// Returns whether the request's settings allow a further attempt after those sent.
+    pub(super) fn may_attempt_again(&self) -> bool {
+        let max_attempts = self.rules.settings().max_attempts as usize;
+        max_attempts == 0 || self.attempts.len() < max_attempts
+    }
+
     /// Returns whether the next attempt is the first one.
     pub(super) fn is_first_attempt(&self) -> bool {
         self.attempts.is_empty()
@@ -143,6 +151,11 @@
         }
     }
 
+    /// Returns the estimates that pending requests use.
+    pub(super) fn estimates_in_use(&self) -> BTreeSet<EstimateId> {
+        self.0.values().map(|pending| pending.estimate).collect()
+    }
+
     /// Returns the requests that await a response and whose only attempt in flight is at this server.
     pub(super) fn waiting_only_for(&self, server: ServerId) -> Vec<RequestId> {
         let is_waiting = |p: &&PendingRequest| p.awaits_response() && p.waits_only_for(server);
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -3,7 +3,7 @@
 use crate::policy::endpoints::EndpointTable;
 use crate::policy::requests::{Attempt, PendingRequest};
 use crate::policy::router::Router;
-use crate::policy::types::{Action, Class, Idempotency, KeyScope, Micros, RequestId, ServerId, Settings};
+use crate::policy::types::{Action, Idempotency, KeyScope, Micros, RequestId, ServerId};
 
 /// Tokens that each request adds to the retry budget; a further attempt costs 1.
 const TOKENS_PER_REQUEST: f64 = 0.05;
@@ -46,23 +46,22 @@
 }
 
 /// Returns whether a further attempt at this server is allowed and can do no harm. This depends on the
-/// settings for hedged requests, on the limit on attempts and, if earlier attempts may have run, on the
+/// request's rules: on hedging, on the limit on attempts and, if earlier attempts may have run, on the
 /// class's idempotency.
 pub(super) fn is_safe_attempt(
-    settings: &Settings,
     endpoints: &EndpointTable,
     pending: &PendingRequest,
     server: ServerId,
     now: Micros,
 ) -> bool {
-    if !settings.hedging && pending.has_attempt_in_flight() {
+    if !pending.rules.settings().hedging && pending.has_attempt_in_flight() {
         return false;
     }
-    if pending.max_attempts > 0 && pending.attempts.len() >= pending.max_attempts as usize {
+    if !pending.may_attempt_again() {
         return false;
     }
     let mut may_have_run = pending.attempts.iter().filter(|attempt| attempt.may_have_run);
-    match settings.classes[pending.request.class].idempotency {
+    match pending.rules.class().idempotency {
         Idempotency::Idempotent => true,
         Idempotency::AtMostOnce => may_have_run.next().is_none(),
         Idempotency::IdempotencyKey { scope, window } => may_have_run.all(|attempt: &Attempt| {
@@ -83,8 +82,8 @@
 }
 
 /// Returns whether the request may be rejected. A rejection promises the client that a retry does no harm.
-pub(super) fn may_reject(class: &Class, pending: &PendingRequest) -> bool {
-    match class.idempotency {
+pub(super) fn may_reject(pending: &PendingRequest) -> bool {
+    match pending.rules.class().idempotency {
         Idempotency::Idempotent | Idempotency::IdempotencyKey { scope: KeyScope::All, .. } => true,
         _ => pending.attempts.iter().all(|attempt| !attempt.may_have_run),
     }
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -20,11 +20,13 @@
 use crate::policy::random::RandomSequence;
 use crate::policy::requests::{PendingRequest, PendingRequests};
 use crate::policy::retry::{may_reject, RetryBudget};
-use crate::policy::service_times::ServiceTimes;
+use crate::policy::service_times::{EstimateId, ServiceTimes};
 use crate::policy::timers::Timer;
 use crate::policy::types::{
-    Action, Event, Micros, ObjectId, Request, RequestId, Settings, SettingsError, TimerToken,
+    Action, Class, Event, Micros, ObjectId, Request, RequestId, RequestRules, Settings, SettingsError,
+    TimerToken,
 };
+use std::sync::Arc;
 
 /// Microseconds in a second.
 const MICROS_PER_SECOND: f64 = 1e6;
@@ -39,7 +41,8 @@
 
 /// The routing state machine of one director. It reads no clock and does no I/O.
 pub struct Router {
-    pub(super) settings: Settings,
+    /// The settings in force. A pending request has its own, which may be earlier ones.
+    pub(super) settings: Arc<Settings>,
     pub(super) random: RandomSequence,
     pub(super) endpoints: EndpointTable,
     pub(super) member_list_backoff: MemberListBackoff,
@@ -64,11 +67,11 @@
             objects: ObjectTable::default(),
             requests: PendingRequests::default(),
             purges: PendingPurges::default(),
-            service_times: ServiceTimes::new(settings.classes.len()),
+            service_times: ServiceTimes::new(&settings.classes),
             congestion: CongestionEstimator::default(),
             admission: AdmissionControl::default(),
             retry_budget: RetryBudget::default(),
-            settings,
+            settings: Arc::new(settings),
         })
     }
 
@@ -85,7 +88,7 @@
             Event::HealthChecked { server, outcome, load_report, .. } => {
                 self.health_checked(now, server, outcome, &load_report, actions)
             }
-            Event::Settings(settings) => self.update_settings(*settings),
+            Event::Settings(settings) => self.update_settings(settings),
             Event::Message { .. } => {}
         }
     }
@@ -96,26 +99,31 @@
         self.endpoints.excluded()
     }
 
+    /// Returns the number of classes of which estimates exist.
+    pub fn class_estimates(&self) -> usize {
+        self.service_times.len()
+    }
+
     fn request_arrived(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
-        let Some(class) = self.settings.classes.get(request.class) else {
+        let Some((rules, estimate)) = self.rules_and_estimate(&request) else {
             actions.push(Action::Fail(request.id));
             return;
         };
-        let (latency_objective, objective_stretch) = (class.latency_objective, class.objective_stretch);
         let (id, deadline) = (request.id, request.deadline);
         let popularity = self.objects.count_request(&request, now);
-        let from_size = request.size_kb / self.settings.transfer_kb_per_s * MICROS_PER_SECOND;
-        let transfer_time = self.service_times.transfer_time(request.class, from_size);
-        let stretch = (objective_stretch * transfer_time) as Micros;
-        let objective_at = now.saturating_add(latency_objective).saturating_add(stretch).min(deadline);
+        let from_size = request.size_kb / rules.settings().transfer_kb_per_s * MICROS_PER_SECOND;
+        let transfer_time = self.service_times.transfer_time(estimate, from_size);
+        let objective = objective_time(rules.class(), transfer_time);
+        let objective_at = now.saturating_add(objective).min(deadline);
         self.retry_budget.earn();
         self.requests.insert(PendingRequest {
             request,
+            rules,
+            estimate,
             attempts: Vec::new(),
             transfer_time,
             objective_at,
             popularity,
-            max_attempts: self.settings.max_attempts,
             finished: false,
             response_started: false,
         });
@@ -127,6 +135,19 @@
         }
     }
 
+    /// Returns the rules of a request that arrives and the estimate of its class, or `None` if its settings
+    /// have no such class.
+    fn rules_and_estimate(&mut self, request: &Request) -> Option<(RequestRules, EstimateId)> {
+        let settings = request.settings.as_ref().unwrap_or(&self.settings);
+        let rules = RequestRules::new(settings.clone(), request.class)?;
+        let estimate = match request.settings {
+            // Earlier settings may list the classes in another order, or list one that was removed.
+            Some(_) => self.service_times.of_name(&rules.class().name),
+            None => self.service_times.of_index(request.class),
+        };
+        Some((rules, estimate))
+    }
+
     fn response_started(&mut self, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
         if let Some(pending) = self.requests.get_mut(id) {
             pending.response_started = true;
@@ -162,9 +183,9 @@
         self.purges.add(Purge { object, group, purged_at, complete_at }, now);
     }
 
-    fn update_settings(&mut self, settings: Settings) {
-        self.service_times.resize(settings.classes.len());
-        self.settings = settings;
+    fn update_settings(&mut self, settings: Box<Settings>) {
+        self.service_times.update(&settings.classes, &self.requests.estimates_in_use());
+        self.settings = Arc::from(settings);
     }
 
     /// Gives the final response to a request that can't be served: a rejection with Retry-After if a retry by
@@ -172,9 +193,9 @@
     pub(super) fn reject_or_fail(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let retry_after = MIN_RETRY_AFTER + self.random.next_u64() % MIN_RETRY_AFTER;
         let Some(pending) = self.requests.get(id) else { return };
-        let class = &self.settings.classes[pending.request.class];
-        actions.push(if may_reject(class, pending) {
-            let limit = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
+        actions.push(if may_reject(pending) {
+            let settings = pending.rules.settings();
+            let limit = if settings.retry_after { settings.max_retry_after } else { 0 };
             Action::Reject { request: id, retry_after: retry_after.min(limit) }
         } else {
             Action::Fail(id)
@@ -187,9 +208,10 @@
     /// request once all of its attempts have ended.
     pub(super) fn clean_up(&mut self, id: RequestId, serving: Option<u32>, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id) else { return };
+        let can_cancel = pending.rules.settings().can_cancel;
         for (number, attempt) in pending.attempts.iter().enumerate() {
             let number = number as u32;
-            if attempt.in_flight && self.settings.can_cancel && serving != Some(number) {
+            if attempt.in_flight && can_cancel && serving != Some(number) {
                 actions.push(Action::Cancel { request: id, attempt: number });
             }
         }
@@ -198,3 +220,9 @@
         }
     }
 }
+
+/// Returns the time within which a response has full weight: the class's latency objective plus its share of
+/// the transfer time.
+fn objective_time(class: &Class, transfer_time: f64) -> Micros {
+    class.latency_objective.saturating_add((class.objective_stretch * transfer_time) as Micros)
+}
--- a/src/policy/types/events.rs
+++ b/src/policy/types/events.rs
@@ -48,8 +48,8 @@
         /// The payload, as passed to [`Action::SendMessage`](super::Action::SendMessage).
         bytes: Vec<u8>,
     },
-    /// New settings for future requests; pending requests keep the old ones. Class indices stay valid, see
-    /// [`Settings::updated_to`]; zones and kinds don't change.
+    /// New settings for future requests; pending requests keep the old ones, see
+    /// [`RequestRules`](super::RequestRules). Zones and kinds don't change.
     Settings(Box<Settings>),
     /// An object or a group was purged: copies older than the purge must not be served.
     Purged {
--- a/src/policy/types/mod.rs
+++ b/src/policy/types/mod.rs
@@ -6,6 +6,7 @@
 //! | --- | --- |
 //! | `ids` | ids of servers, requests and objects; the unit of time |
 //! | `settings` | the configuration of a router |
+//! | `rules` | the class and settings that apply to one request |
 //! | `members` | entries of the member list |
 //! | `requests` | client requests and results of attempts |
 //! | `events` | notifications from the host to the router |
@@ -16,6 +17,7 @@
 mod ids;
 mod members;
 mod requests;
+mod rules;
 mod settings;
 
 pub use actions::{Action, Fill};
@@ -23,6 +25,7 @@
 pub use ids::{Micros, ObjectId, RequestId, ServerId, TimerToken};
 pub use members::{Member, MemberState, MemberUpdate};
 pub use requests::{AttemptEnd, CacheStatus, Outcome, Request};
+pub use rules::RequestRules;
 pub use settings::{
     CacheStatusLevel, Class, Idempotency, KeyScope, Settings, SettingsError, Siblings, SlowStartRule,
 };
--- a/src/policy/types/requests.rs
+++ b/src/policy/types/requests.rs
@@ -1,14 +1,18 @@
 //! Client requests and the results of attempts to serve them.
 
-use super::{Micros, ObjectId, RequestId, ServerId};
+use super::{Micros, ObjectId, RequestId, ServerId, Settings};
+use std::sync::Arc;
 
 /// A client's request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
     /// Assigned by the host.
     pub id: RequestId,
-    /// Index in [`Settings::classes`](super::Settings::classes).
+    /// Index in [`Settings::classes`] of `settings`.
     pub class: usize,
+    /// The settings in force when the class was chosen; `None` for those in force when the request arrives.
+    /// They apply to the request until its end.
+    pub settings: Option<Arc<Settings>>,
     /// The object that is read or written.
     pub object: ObjectId,
     /// Number of the requested part of the object, from 0.
--- a/src/policy/types/settings.rs
+++ b/src/policy/types/settings.rs
@@ -33,7 +33,8 @@
 /// A class of requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
-    /// Identifies the class in requests, log lines and metrics; the policy does not use it.
+    /// Identifies the class in requests, log lines and metrics. The policy uses it only to keep its estimates
+    /// when the settings change.
     pub name: String,
     /// A response within this time, in microseconds, has full weight.
     pub latency_objective: Micros,
@@ -55,9 +56,6 @@
     pub stale_weight_share: f64,
     /// Whether requests run at the origin and responses are never cached.
     pub write: bool,
-    /// Whether the class is no longer configured and has only requests that arrived before its removal. Set
-    /// by [`Settings::updated_to`].
-    pub retired: bool,
 }
 
 /// Which caches may be the source of another cache's fill.
@@ -100,7 +98,8 @@
 /// The configuration of a router.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
-    /// Request classes; [`Request::class`](super::Request::class) is an index in this list.
+    /// Request classes; [`Request::class`](super::Request::class) is an index in this list. Their order may
+    /// differ from that in earlier settings.
     pub classes: Vec<Class>,
     /// Names of the kinds of servers; [`Member::kind`](super::Member::kind) is an index in this list.
     pub kinds: Vec<String>,
@@ -178,37 +177,9 @@
         }
     }
 
-    /// Returns the index of the class with this name; `None` if there is none or it is retired.
+    /// Returns the index of the class with this name, or `None` if there is none.
     pub fn class_index(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|c| !c.retired && c.name == name)
-    }
-
-    /// Returns `new` with its classes reordered so that indices stay valid for pending requests, which keep
-    /// the rules of their class: an unchanged class keeps its index, a changed one gets a new index, and one
-    /// that is no longer configured is retired. The index of a class that an earlier update retired is reused
-    /// once `in_use` returns `false` for it, so that the table stays small.
-    pub fn updated_to(&self, mut new: Settings, in_use: impl Fn(usize) -> bool) -> Settings {
-        let mut classes: Vec<Class> =
-            self.classes.iter().map(|c| Class { retired: true, ..c.clone() }).collect();
-        let mut added = Vec::new();
-        for class in std::mem::take(&mut new.classes) {
-            let unchanged = |c: &&mut Class| c.retired && Class { retired: false, ..(**c).clone() } == class;
-            match classes.iter_mut().find(unchanged) {
-                Some(existing) => *existing = class,
-                None => added.push(class),
-            }
-        }
-        for class in added {
-            // Reuses only an index that an earlier update retired: a request that was read just before this
-            // update may still refer to a class that this update retires.
-            let is_reusable = |i: &usize| self.classes[*i].retired && classes[*i].retired && !in_use(*i);
-            match (0..self.classes.len()).find(is_reusable) {
-                Some(index) => classes[index] = class,
-                None => classes.push(class),
-            }
-        }
-        new.classes = classes;
-        new
+        self.classes.iter().position(|class| class.name == name)
     }
 }
 
--- a/src/signed/request.rs
+++ b/src/signed/request.rs
@@ -2,10 +2,9 @@
 
 use super::Grant;
 use crate::dispatch::request::{is_name, ClientRequest};
-use crate::policy::types::Settings;
+use crate::policy::types::{RequestRules, Settings};
 use bytes::Bytes;
 use std::sync::Arc;
-use std::time::Duration;
 
 const PART_PARAMETER: &str = "block";
 const GROUP_PARAMETER: &str = "family";
@@ -31,7 +30,7 @@
 
 /// Converts the granted target to a request with this id. Object names can contain slashes.
 pub fn parse_request(
-    settings: &Settings,
+    settings: Arc<Settings>,
     method: &str,
     grant: &Grant,
     id: Arc<str>,
@@ -41,8 +40,8 @@
     let (path, query) = grant.target.split_once('?').unwrap_or((&grant.target, ""));
     let segments = path.strip_prefix('/').and_then(|path| path.split_once('/'));
     let (class_name, object) = segments.ok_or(InvalidRequest::NOT_FOUND)?;
-    let class = settings.class_index(class_name).ok_or(InvalidRequest::NOT_FOUND)?;
-    let allowed_method = if settings.classes[class].write { "PUT" } else { "GET" };
+    let rules = RequestRules::of_class(settings, class_name).ok_or(InvalidRequest::NOT_FOUND)?;
+    let allowed_method = if rules.class().write { "PUT" } else { "GET" };
     if method != allowed_method {
         return Err(InvalidRequest::method_not_allowed(allowed_method));
     }
@@ -50,15 +49,13 @@
     let Parameters { part, group } = Parameters::parse(query)?;
     Ok(ClientRequest {
         id,
-        class,
         object: object.into(),
         part,
         group,
-        timeout: Duration::from_micros(settings.classes[class].deadline),
         if_none_match: if_none_match.filter(|tag| is_name(tag)).map(Into::into),
         body,
         credential_expires_at: grant.expires_at,
-        ..ClientRequest::default()
+        ..ClientRequest::new(rules)
     })
 }
 
--- a/src/simulator/codec/decode.rs
+++ b/src/simulator/codec/decode.rs
@@ -84,6 +84,7 @@
     Ok(Event::Request(Request {
         id,
         class,
+        settings: None,
         object: fields.object("file")?.unwrap_or_default(),
         deadline: fields.time("clientDeadlineMs")?,
         size_kb: fields.finite_or("lengthKb", 0.0)?.max(0.0),
--- a/tests/admin_endpoint.rs
+++ b/tests/admin_endpoint.rs
@@ -8,7 +8,7 @@
 use foxhold::frontend::admin::{self, AdminEndpoint, ReloadCounters};
 use foxhold::frontend::platform::PlatformFrontend;
 use foxhold::frontend::serve::ShutdownPhase;
-use foxhold::policy::types::*;
+use foxhold::policy::types::Settings;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -167,44 +167,6 @@
     }
 }
 
-/// Guards against applying a later class's rules to pending requests, and against a table of classes that
-/// grows.
-#[test]
-fn classes_keep_their_index_while_requests_use_it() {
-    let settings_with = |names: &[&str]| {
-        let class = |name: &&str| Class { name: (*name).to_owned(), deadline: 7, ..Class::default() };
-        Settings { classes: names.iter().map(class).collect(), ..Settings::default() }
-    };
-    let first = settings_with(&["a", "b"]);
-    let second = first.updated_to(settings_with(&["b", "c"]), |_| false);
-    assert_eq!(
-        (second.class_index("a"), second.class_index("b"), second.class_index("c")),
-        (None, Some(1), Some(2))
-    );
-    assert_eq!(second.classes[0], Class { retired: true, ..first.classes[0].clone() });
-    let in_use = second.updated_to(settings_with(&["b", "c", "d"]), |index| index == 0);
-    assert_eq!(in_use.class_index("d"), Some(3), "index 0 is not reused while a pending request uses it");
-    let free = second.updated_to(settings_with(&["b", "c", "d"]), |_| false);
-    assert_eq!((free.class_index("d"), free.classes.len()), (Some(0), 3));
-    let mut changed_rules = settings_with(&["b", "c"]);
-    changed_rules.classes[0].idempotency = Idempotency::AtMostOnce;
-    let changed = second.updated_to(changed_rules, |_| true);
-    assert_eq!(
-        changed.classes[1].idempotency,
-        Idempotency::Idempotent,
-        "pending requests keep the old rules"
-    );
-    assert_eq!(
-        changed.classes[changed.class_index("b").expect("a class")].idempotency,
-        Idempotency::AtMostOnce
-    );
-    let mut grown = first;
-    for n in 0..1000 {
-        grown = grown.updated_to(settings_with(&[&format!("n{n}")]), |_| false);
-    }
-    assert!(grown.classes.len() <= 5, "the table has grown to {} classes", grown.classes.len());
-}
-
 /// Guards against a new class that stays unknown, and a removed class that is still served.
 #[test]
 fn new_classes_are_served_and_removed_classes_are_not() {
@@ -222,3 +184,28 @@
         assert!(servers[0].requests()[0].contains("kind=films,"), "{:?}", servers[0].requests());
     });
 }
+
+/// Guards against a rejection without X-Wait-Ms because settings that came after the request turn it off, and
+/// against one that clients of those settings do not follow.
+#[test]
+fn a_rejection_follows_the_settings_that_its_request_began_under() {
+    run_local(async {
+        let (_servers, members) = start_cache_parent_origin(ServerBehavior::Silent).await;
+        let dispatcher = start(settings(), Clock::system(), members);
+        let clients = serve(&dispatcher, PlatformFrontend(dispatcher.clone())).await;
+        let short = |id| get("videos", id).replace("X-Allow-Ms: 1000", "X-Allow-Ms: 300");
+        let pending = tokio::task::spawn_local({
+            let (clients, request) = (clients.clone(), short(1));
+            async move { send_request_text(&clients, &request).await }
+        });
+        while dispatcher.metrics().await.expect("a dispatcher").tables.pending_requests == 0 {
+            tokio::task::yield_now().await;
+        }
+        let off = Settings { retry_after: false, ..settings() };
+        dispatcher.sender().send(DispatcherMessage::Settings(Box::new(off))).await;
+        let before = pending.await.expect("a response");
+        assert_eq!((before.status, before.header("x-wait-ms").is_some()), (503, true));
+        let after = send_request_text(&clients, &short(2)).await;
+        assert_eq!((after.status, after.header("x-wait-ms")), (503, None));
+    });
+}
--- a/tests/client_gone.rs
+++ b/tests/client_gone.rs
@@ -176,7 +176,7 @@
                 object: "7f3a9c21e0b4d655".into(),
                 size_kb: 50.0,
                 timeout: Duration::from_secs(2),
-                ..Default::default()
+                ..ClientRequest::new(site.dispatcher.class_rules("videos").expect("a class"))
             };
             let _pending = site.dispatcher.submit_for_client(request, stream.client());
             client.write_all(&vec![b'x'; unread]).expect("a connected peer");
--- a/tests/director.rs
+++ b/tests/director.rs
@@ -386,10 +386,9 @@
             let settings = Settings { retry_after, max_retry_after, ..settings() };
             let dispatcher = start(settings, Clock::system(), members.clone());
             let wait = Some(Duration::from_millis(500));
-            let rejected = PlatformFrontend(dispatcher).to_response(ClientResponse::Rejected {
-                retry_after: wait,
-                reason: FailureReason::Overloaded,
-            });
+            let rejected = ClientResponse::Rejected { retry_after: wait, reason: FailureReason::Overloaded };
+            let in_force = dispatcher.settings();
+            let rejected = PlatformFrontend(dispatcher).to_response(rejected, &in_force);
             let head = rejected.encode_head(true);
             let delay = head.lines().find_map(|l| l.strip_prefix("X-Wait-Ms: "));
             assert_eq!(delay, expected, "{head}");
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -12,6 +12,8 @@
 mod limits;
 #[path = "dispatch/purges.rs"]
 mod purges;
+#[path = "dispatch/reloads.rs"]
+mod reloads;
 
 use emulated::{endpoint_listing, run_with_paused_clock};
 use fixture::*;
@@ -24,7 +26,7 @@
 fn only_the_first_end_of_an_attempt_counts() {
     run_with_paused_clock(async {
         let site = site();
-        let pending = site.dispatcher.submit(request(1));
+        let pending = site.dispatcher.submit(site.request(1));
         run_until_idle().await;
         let attempts = site.connector.attempts();
         assert_eq!((attempts.len(), &attempts[0].0[..]), (1, "origin-1"));
@@ -44,7 +46,7 @@
     let is_retried = |error: AttemptError| {
         run_with_paused_clock(async move {
             let site = site();
-            let pending = site.dispatcher.submit(request(1));
+            let pending = site.dispatcher.submit(site.request(1));
             run_until_idle().await;
             end_attempt(&site, site.connector.attempts()[0].1.attempt_id, Err(error)).await;
             let sent = site.connector.attempts().len();
@@ -69,7 +71,7 @@
         let members = members.into_iter().map(gone).collect();
         site.dispatcher.sender().send(DispatcherMessage::Members { full: true, members }).await;
         let started = Instant::now();
-        let response = site.dispatcher.submit(request(0)).await;
+        let response = site.dispatcher.submit(site.request(0)).await;
         assert!(
             matches!(
                 response,
@@ -85,7 +87,7 @@
 fn the_attempts_of_a_client_that_disconnects_are_cancelled() {
     run_with_paused_clock(async {
         let site = site();
-        let pending = site.dispatcher.submit(request(0));
+        let pending = site.dispatcher.submit(site.request(0));
         run_until_idle().await;
         drop(pending);
         run_until_idle().await;
@@ -103,7 +105,7 @@
         for _ in 0..60 {
             let pending = site.dispatcher.submit(ClientRequest {
                 object: site.dispatcher.generate_request_id(),
-                ..request_with_new_id(&site, 0)
+                ..site.request_with_new_id(0)
             });
             run_until_idle().await;
             let (name, attempt) = site.connector.attempts().pop().expect("an attempt");
--- a/tests/dispatch/credentials.rs
+++ b/tests/dispatch/credentials.rs
@@ -17,7 +17,7 @@
             let expires_at = Some(site.clock.unix() + 300_000);
             assert_eq!(
                 site.dispatcher
-                    .submit(ClientRequest { credential_expires_at: expires_at, ..request(class) })
+                    .submit(ClientRequest { credential_expires_at: expires_at, ..site.request(class) })
                     .await,
                 expected
             );
@@ -34,8 +34,9 @@
         run_with_paused_clock(async {
             let site = site();
             let expires_at = Some(site.clock.unix() + remaining);
-            let pending =
-                site.dispatcher.submit(ClientRequest { credential_expires_at: expires_at, ..request(1) });
+            let pending = site
+                .dispatcher
+                .submit(ClientRequest { credential_expires_at: expires_at, ..site.request(1) });
             tokio::task::yield_now().await;
             tokio::task::yield_now().await;
             assert_eq!(site.connector.attempts().len(), expected_attempts);
@@ -56,7 +57,7 @@
         let site = site();
         let expires_at = Some(site.clock.unix() + 300_000);
         let pending =
-            site.dispatcher.submit(ClientRequest { credential_expires_at: expires_at, ..request(0) });
+            site.dispatcher.submit(ClientRequest { credential_expires_at: expires_at, ..site.request(0) });
         run_until_idle().await;
         end_attempt(&site, site.connector.attempts()[0].1.attempt_id, served()).await;
         sleep(Duration::from_secs(1)).await; // the frontend takes it after the credential's expiry
@@ -70,7 +71,7 @@
         let site = site();
         let expires_at = Some(site.clock.unix() + 300_000);
         let pending =
-            site.dispatcher.submit(ClientRequest { credential_expires_at: expires_at, ..request(0) });
+            site.dispatcher.submit(ClientRequest { credential_expires_at: expires_at, ..site.request(0) });
         run_until_idle().await;
         let attempt_id = site.connector.attempts()[0].1.attempt_id;
         assert_eq!(
--- a/tests/dispatch/endpoints.rs
+++ b/tests/dispatch/endpoints.rs
@@ -24,7 +24,7 @@
             .map(|n| {
                 site.dispatcher.submit(ClientRequest {
                     object: format!("{n:016x}").into(),
-                    ..request_with_new_id(&site, 0)
+                    ..site.request_with_new_id(0)
                 })
             })
             .collect();
@@ -47,7 +47,7 @@
 fn a_restart_of_a_server_ends_the_attempts_at_its_previous_process() {
     run_with_paused_clock(async {
         let site = site();
-        let pending = site.dispatcher.submit(request(1));
+        let pending = site.dispatcher.submit(site.request(1));
         run_until_idle().await;
         sleep(Duration::from_millis(100)).await;
         let member =
@@ -65,7 +65,7 @@
     run_with_paused_clock(async {
         let site = site_with_connector(RecordingConnector::ending_after_one_command());
         for n in 1..=3 {
-            let pending = site.dispatcher.submit(request(1));
+            let pending = site.dispatcher.submit(site.request(1));
             run_until_idle().await;
             assert_eq!(site.connector.attempts().len(), n);
             drop(pending);
--- a/tests/dispatch/fixture.rs
+++ b/tests/dispatch/fixture.rs
@@ -94,21 +94,29 @@
     Site { dispatcher: running.dispatcher, connector, clock }
 }
 
-/// Returns a request of a class; class 1 holds writes.
-pub fn request(class: usize) -> ClientRequest {
-    ClientRequest {
-        id: "00000000000000aa".into(),
-        class,
-        object: "7f3a9c21e0b4d655".into(),
-        size_kb: 50.0,
-        timeout: Duration::from_secs(2),
-        ..ClientRequest::default()
+impl Site {
+    /// Returns a request of the class at this index in the settings in force; class 1 holds writes.
+    pub fn request(&self, class: usize) -> ClientRequest {
+        let rules = RequestRules::new(self.dispatcher.settings(), class).expect("a class");
+        ClientRequest {
+            id: "00000000000000aa".into(),
+            object: "7f3a9c21e0b4d655".into(),
+            size_kb: 50.0,
+            timeout: Duration::from_secs(2),
+            ..ClientRequest::new(rules)
+        }
+    }
+
+    /// Returns the same request with a newly generated id.
+    pub fn request_with_new_id(&self, class: usize) -> ClientRequest {
+        ClientRequest { id: self.dispatcher.generate_request_id(), ..self.request(class) }
     }
-}
 
-/// Returns the same request with a newly generated id.
-pub fn request_with_new_id(site: &Site, class: usize) -> ClientRequest {
-    ClientRequest { id: site.dispatcher.generate_request_id(), ..request(class) }
+    /// Puts new settings into the dispatcher's mailbox without running any task.
+    pub fn queue_settings(&self, settings: Settings) {
+        let message = DispatcherMessage::Settings(Box::new(settings));
+        assert!(self.dispatcher.sender().try_send(message), "the mailbox is full");
+    }
 }
 
 /// Returns a server's response from its cache.
--- a/tests/dispatch/limits.rs
+++ b/tests/dispatch/limits.rs
@@ -12,7 +12,7 @@
     for class in [0, 1] {
         run_with_paused_clock(async {
             let (site, started) = (site(), Instant::now());
-            let response = site.dispatcher.submit(request(class)).await;
+            let response = site.dispatcher.submit(site.request(class)).await;
             assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
             match response {
                 ClientResponse::Rejected { reason: FailureReason::DeadlineExceeded, .. } => {
@@ -37,12 +37,12 @@
         let site = site();
         let mut pending = Vec::new();
         for _ in 0..256 {
-            pending.extend((0..16).map(|_| site.dispatcher.submit(request_with_new_id(&site, 1))));
+            pending.extend((0..16).map(|_| site.dispatcher.submit(site.request_with_new_id(1))));
             run_until_idle().await; // keeps the mailboxes from filling up
         }
         assert_eq!(site.connector.attempts().len(), 4096);
         let started = Instant::now();
-        let response = site.dispatcher.submit(request_with_new_id(&site, 1)).await;
+        let response = site.dispatcher.submit(site.request_with_new_id(1)).await;
         assert!(
             matches!(
                 response,
@@ -65,7 +65,7 @@
             .submit(ClientRequest {
                 timeout: Duration::MAX,
                 credential_expires_at: Some(Micros::MAX),
-                ..request(1)
+                ..site.request(1)
             })
             .await;
         assert_eq!(response, ClientResponse::Failed(FailureReason::DeadlineExceeded));
@@ -83,7 +83,7 @@
             let timeout = Duration::from_millis(timeout);
             let started = Instant::now();
             let response =
-                site.dispatcher.submit(ClientRequest { timeout, size_kb: 1.0, ..request(0) }).await;
+                site.dispatcher.submit(ClientRequest { timeout, size_kb: 1.0, ..site.request(0) }).await;
             assert!(matches!(response, ClientResponse::Rejected { .. }), "{response:?}");
             let elapsed_ms = started.elapsed().as_millis();
             assert!((min_ms..=max_ms).contains(&elapsed_ms), "{timeout:?}: after {elapsed_ms} ms");
@@ -98,7 +98,7 @@
     for (drain, purge, wait) in [(1_000_000, 1_000_000, 500), (300_000, 0, 150), (900_000, 200_000, 100)] {
         run_with_paused_clock(async {
             let site = site_with_settings(Settings { drain_grace: drain, purge_grace: purge, ..settings() });
-            let (_pending, now) = (site.dispatcher.submit(request(1)), Instant::now());
+            let (_pending, now) = (site.dispatcher.submit(site.request(1)), Instant::now());
             run_until_idle().await;
             let send_deadline = site.connector.attempts()[0].1.send_deadline;
             assert_eq!(
@@ -113,7 +113,7 @@
         settings.classes[0].idempotency =
             Idempotency::IdempotencyKey { scope: KeyScope::All, window: 400_000 };
         let site = site_with_settings(settings);
-        let (_pending, first) = (site.dispatcher.submit(request(0)), Instant::now());
+        let (_pending, first) = (site.dispatcher.submit(site.request(0)), Instant::now());
         run_until_idle().await;
         sleep(Duration::from_millis(300)).await;
         end_attempt(&site, site.connector.attempts()[0].1.attempt_id, Err(AttemptError::Unanswered)).await;
--- a/tests/dispatch/purges.rs
+++ b/tests/dispatch/purges.rs
@@ -18,7 +18,7 @@
         };
         site.dispatcher.sender().send(purge).await;
         for (group, purged) in [(Some(9), true), (Some(8), false), (None, true)] {
-            let pending = site.dispatcher.submit(ClientRequest { group, ..request(0) });
+            let pending = site.dispatcher.submit(ClientRequest { group, ..site.request(0) });
             run_until_idle().await;
             let attempt = site.connector.attempts().pop().expect("an attempt").1;
             assert_eq!(attempt.max_age_ms > 0, purged, "{group:?}");
@@ -44,7 +44,7 @@
         }
         for (seconds, group, limited) in [(30, 8, false), (30, 9, true), (61, 9, false)] {
             tokio::time::sleep_until(started + Duration::from_secs(seconds)).await;
-            let pending = site.dispatcher.submit(ClientRequest { group: Some(group), ..request(0) });
+            let pending = site.dispatcher.submit(ClientRequest { group: Some(group), ..site.request(0) });
             run_until_idle().await;
             let attempt = site.connector.attempts().pop().expect("an attempt").1;
             assert_eq!(attempt.max_age_ms > 0, limited, "{seconds} s, group {group}: {}", attempt.max_age_ms);
@@ -61,7 +61,7 @@
         let site = site();
         for (at, limited) in [(Some(site.clock.unix() - 250_000), true), (None, false)] {
             site.dispatcher.sender().send(DispatcherMessage::NotBefore(at)).await;
-            let pending = site.dispatcher.submit(request(0));
+            let pending = site.dispatcher.submit(site.request(0));
             run_until_idle().await;
             let attempt = site.connector.attempts().pop().expect("an attempt").1;
             assert_eq!(
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -8,7 +8,7 @@
 mod upstream;
 
 use emulated::*;
-use foxhold::dispatch::{AttemptId, Clock, Dispatcher, DispatcherMessage};
+use foxhold::dispatch::{AttemptId, ClientRequest, Clock, Dispatcher, DispatcherMessage};
 use foxhold::frontend::platform::PlatformFrontend;
 use foxhold::frontend::serve::{self, ConnectionSlots, ListenerContext, ShutdownPhase};
 use foxhold::memory::MemoryBudget;
@@ -54,12 +54,12 @@
             start_cache_parent_origin(ServerBehavior::Responds("ID ACK - 2\r\nok\r\n")).await;
         members[0].address = address.into();
         let dispatcher = start(settings(), Clock::system(), members);
-        let request = foxhold::dispatch::ClientRequest {
+        let request = ClientRequest {
             id: dispatcher.generate_request_id(),
             object: "7f3a9c21e0b4d655".into(),
             size_kb: 50.0,
             timeout: Duration::from_secs(2),
-            ..Default::default()
+            ..ClientRequest::new(dispatcher.class_rules("videos").expect("a class"))
         };
         let pending = dispatcher.submit(request);
         let mut stream = server.connection().await;
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -137,3 +137,35 @@
         "requests to the drained cache, with the reload {gap_ms} ms after the drain: {late:?}"
     );
 }
+
+/// Guards against forwarding an upload as another class because settings are replaced while its body arrives.
+#[test]
+fn an_upload_in_pieces_is_forwarded_as_its_class_after_any_number_of_reloads() {
+    for reloads in 0..=4 {
+        run_local(async {
+            let origin = EmulatedServer::start(ServerBehavior::Responds("ID ACK - 2\r\nok\r\n")).await;
+            let text = config_with_origin(&origin.address);
+            let file = TempFile::new(&format!("upload-{reloads}"), &text);
+            let program = StartOptions { config: Some(&file.0), ..StartOptions::default() }.start();
+            let mut client = TcpStream::connect(&program.address).await.expect("a listener");
+            let head = write_request(1, 1_500).replace("Content-Length: 0", "Content-Length: 8");
+            client.write_all(format!("{head}a fi").as_bytes()).await.expect("a connected peer");
+            for number in 0..reloads {
+                // Changes the class of the upload and another one in turn.
+                let (deadline_ms, objective_ms) = (2_999 - number, 401 + number / 2);
+                let changed = text.replace("\"deadlineMs\": 3000", &format!("\"deadlineMs\": {deadline_ms}"));
+                file.replace(&changed.replace("\"aimMs\": 400", &format!("\"aimMs\": {objective_ms}")));
+                program.signal(Signal::HUP);
+                sleep(Duration::from_millis(100)).await;
+            }
+            client.write_all(b"ling").await.expect("a connected peer");
+            let mut answer = Vec::new();
+            client.read_to_end(&mut answer).await.expect("an answer");
+            assert!(answer.starts_with(b"HTTP/1.1 200 "), "{}", String::from_utf8_lossy(&answer));
+            let requests = origin.requests();
+            assert_eq!(requests.len(), 1, "{requests:?}");
+            assert!(requests[0].contains("kind=filing-submit,"), "{requests:?}");
+            assert_eq!(program.log().matches("configuration reloaded").count(), reloads);
+        });
+    }
+}
--- /dev/null
+++ b/tests/reload_classes/fixture.rs
@@ -0,0 +1,172 @@
+//! A host application with the director as a library, whose transport records the class of each attempt.
+
+use crate::emulated::{endpoint_listing, settings};
+use bytes::Bytes;
+use foxhold::director::{CacheRequest, Director};
+use foxhold::discovery::StaticEndpoints;
+use foxhold::dispatch::*;
+use foxhold::middleware::DirectorService;
+use foxhold::policy::types::*;
+use foxhold::signed::OutcomeCounters;
+use foxhold::upstream::host::{BoxFuture, Exchange, HostTransport};
+use http::{Request, StatusCode};
+use http_body::Frame;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::{mpsc as std_mpsc, Arc, Mutex};
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tower::ServiceExt;
+
+/// Object whose attempt blocks the director's thread until the sender of [`Host::block_director`] is dropped.
+const BLOCKING_OBJECT: &str = "blocking";
+
+/// Serves every attempt at once, and records the class and the server of each.
+#[derive(Clone, Default)]
+struct RecordingTransport {
+    forwarded: Arc<Mutex<Vec<(String, String)>>>,
+    block: Arc<Mutex<Option<std_mpsc::Receiver<()>>>>,
+    blocked: Arc<tokio::sync::Notify>,
+}
+
+impl Exchange for RecordingTransport {
+    fn exchange(&self, server: &Endpoint, request: UpstreamRequest) -> BoxFuture<AttemptResult> {
+        if &*request.object == BLOCKING_OBJECT {
+            self.blocked.notify_one();
+            let block = self.block.lock().expect("a lock").take().expect("a receiver");
+            let _ = block.recv(); // ends when the sender is dropped
+        } else {
+            let attempt = (request.class.to_string(), server.name.to_string());
+            self.forwarded.lock().expect("a lock").push(attempt);
+        }
+        let status = ResponseStatus::Ok(Representation { etag: None, body: "bytes".into() });
+        let cache_status = CacheStatus::Hit;
+        let response = UpstreamResponse { status, cache_status, source_wait: 0, load_report: Vec::new() };
+        Box::pin(async { Ok(response) })
+    }
+}
+
+/// Returns the settings of a reload. Each changes one class, `filing` and `videos` in turn, so that no two
+/// are the same.
+fn changed_settings(number: usize) -> Settings {
+    let mut settings = settings();
+    let change = number as Micros + 1;
+    settings.classes[1].deadline -= change;
+    settings.classes[0].latency_objective += change / 2;
+    settings
+}
+
+/// The host application.
+pub struct Host {
+    pub director: Director,
+    service: DirectorService,
+    transport: RecordingTransport,
+}
+
+impl Host {
+    pub fn start() -> Host {
+        let transport = RecordingTransport::default();
+        let members = vec![
+            endpoint_listing("cache-1", "a", "edge", "cache"),
+            endpoint_listing("parent-1", "b", "hub", "parent"),
+            endpoint_listing("origin-1", "c", "hub", "origin"),
+        ];
+        let builder = Director::builder(settings()).endpoint_source(StaticEndpoints(members)).seed(7);
+        let director = builder.connector(HostTransport::new(transport.clone())).start().expect("a director");
+        let service = DirectorService::new(director.clone(), Arc::new(OutcomeCounters::default()));
+        Host { director, service, transport }
+    }
+
+    /// Returns the class and the server of each attempt so far.
+    pub fn forwarded(&self) -> Vec<(String, String)> {
+        self.transport.forwarded.lock().expect("a lock").clone()
+    }
+
+    /// Applies changed settings and returns once they are in force.
+    pub async fn reload(&self, number: usize) {
+        self.director.reload(changed_settings(number)).await.expect("a director");
+        // The director handles messages in order, so the settings are in force once it has replied.
+        self.director.metrics().await.expect("a director");
+    }
+
+    /// Puts changed settings into the director's mailbox.
+    pub fn queue_reload(&self, number: usize) {
+        let message = DispatcherMessage::Settings(Box::new(changed_settings(number)));
+        assert!(self.director.dispatcher().sender().try_send(message), "the mailbox is full");
+    }
+
+    /// Blocks the director's thread until the returned sender is dropped.
+    pub async fn block_director(&self) -> std_mpsc::Sender<()> {
+        let (unblock, block) = std_mpsc::channel();
+        *self.transport.block.lock().expect("a lock") = Some(block);
+        tokio::spawn(self.director.send(CacheRequest::new("videos", BLOCKING_OBJECT)));
+        self.transport.blocked.notified().await;
+        unblock
+    }
+
+    /// Begins a write through the middleware, and returns once the middleware waits for the body.
+    pub async fn begin_upload(&self, path: &str) -> Upload {
+        let (parts, received) = mpsc::unbounded_channel();
+        let polled = Arc::new(tokio::sync::Notify::new());
+        let body = ChannelBody { received, polled: polled.clone() };
+        let request = Request::put(path).body(body).expect("a valid request");
+        let service = self.service.clone();
+        let response =
+            tokio::spawn(
+                async move { service.oneshot(request).await.expect("an infallible service").status() },
+            );
+        polled.notified().await;
+        Upload { parts: Some(parts), response }
+    }
+}
+
+/// A write whose body is sent in parts.
+pub struct Upload {
+    parts: Option<mpsc::UnboundedSender<Bytes>>,
+    response: JoinHandle<StatusCode>,
+}
+
+impl Upload {
+    /// Sends a part of the body.
+    pub fn send(&mut self, part: &'static str) {
+        let parts = self.parts.as_ref().expect("an incomplete body");
+        parts.send(Bytes::from_static(part.as_bytes())).expect("the middleware reads the body");
+    }
+
+    /// Ends the body and returns the status of the response.
+    pub async fn response(mut self) -> StatusCode {
+        self.parts = None;
+        self.response.await.expect("a response")
+    }
+}
+
+/// A body whose parts come from a channel.
+struct ChannelBody {
+    received: mpsc::UnboundedReceiver<Bytes>,
+    /// Notified when the body is read.
+    polled: Arc<tokio::sync::Notify>,
+}
+
+impl http_body::Body for ChannelBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.polled.notify_one();
+        self.received.poll_recv(cx).map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
+
+/// Runs a test on a runtime of two threads.
+pub fn run_on_two_threads<T>(test: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(test)
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -160,3 +160,32 @@
         });
     }
 }
+
+/// Guards against exiting by the deadlines of later settings, before requests that began under longer ones
+/// are answered.
+#[test]
+fn a_request_that_began_under_a_longer_deadline_is_answered_during_the_shutdown() {
+    const DEADLINE_MS: u64 = 5_000;
+    run_local(async {
+        let origin = EmulatedServer::start(ServerBehavior::Responds("")).await;
+        let text = config_with_origin(&origin.address);
+        let with_deadline = |ms: u64| {
+            text.replace("\"deadlineMs\": 5000", &format!("\"deadlineMs\": {ms}"))
+                .replace("\"deadlineMs\": 3000", &format!("\"deadlineMs\": {ms}"))
+        };
+        let config = TempFile::new("longer-deadline", &with_deadline(DEADLINE_MS));
+        let program = start_program(&config);
+        let mut accepted = TcpStream::connect(&program.address).await.expect("a listener");
+        accepted.write_all(write_request(1, DEADLINE_MS).as_bytes()).await.expect("a connected peer");
+        wait_for_request(&origin).await;
+        for shorter_ms in [1_000, 900] {
+            config.replace(&with_deadline(shorter_ms));
+            program.signal(Signal::HUP);
+            sleep(Duration::from_millis(200)).await;
+        }
+        program.signal(Signal::TERM);
+        let answer = read_to_close(&mut accepted).await;
+        assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+        program.wait_for_success().await;
+    });
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -27,6 +27,7 @@
     servers: 24,
     mailbox: 64,
     classes: 2,
+    class_estimates: 2,
 };
 
 /// Servers that respond after a delay, sometimes with a fill, reject, fail, or don't respond.
@@ -127,14 +128,15 @@
 
 /// Returns a request made from a random draw; one in twenty is a write.
 fn random_request(dispatcher: &Dispatcher, draw: u64) -> ClientRequest {
+    let class_name = if draw.is_multiple_of(20) { "filing" } else { "videos" };
+    let rules = dispatcher.class_rules(class_name).expect("a class");
     ClientRequest {
         id: dispatcher.generate_request_id(),
-        class: usize::from(draw.is_multiple_of(20)),
         object: format!("{:016x}", draw % 50_000).into(),
         group: Some((draw % 32) as u32),
         size_kb: 20.0 + (draw % 300) as f64,
         timeout: Duration::from_millis(800 + draw % 2_000),
-        ..ClientRequest::default()
+        ..ClientRequest::new(rules)
     }
 }
 
