Let Director::reload return once its settings are in force

What callers saw: a host that reloaded its settings, waited for the call and sent a request of an added class got UnknownClass while the director's thread was busy; a removed or changed class was accepted by its earlier rules. The library's page says that a reload applies to later requests.

Cause: reload waited for room in the mailbox, not for the director to apply the settings, and send looks a class up in the settings in force.

Change: the message carries a reply, as that of a drain does, and reload returns when it has come. The daemon makes the same call at SIGHUP.

Now it waits, and the class is known when it returns.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -62,7 +62,7 @@
     let reloader = Reloader {
         current: config.clone(),
         discovery_address: to_discovery,
-        dispatcher: dispatcher.sender(),
+        dispatcher: dispatcher.clone(),
         counters: reloads.clone(),
     };
     tokio::task::spawn_local(reloader.run(configs));
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -1,7 +1,7 @@
 //! Applies configurations that are reloaded while the process runs.
 
 use crate::config::platform::{PlatformConfig, PlatformConfigError};
-use crate::dispatch::{DispatcherMessage, DispatcherSender};
+use crate::dispatch::Dispatcher;
 use crate::frontend::admin::ReloadCounters;
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
@@ -16,7 +16,7 @@
 pub(super) struct Reloader {
     pub(super) current: PlatformConfig,
     pub(super) discovery_address: watch::Sender<String>,
-    pub(super) dispatcher: DispatcherSender,
+    pub(super) dispatcher: Dispatcher,
     pub(super) counters: Rc<ReloadCounters>,
 }
 
@@ -50,8 +50,8 @@
             );
         }
         if config.settings != self.current.settings {
-            let settings = Box::new(config.settings.clone());
-            self.dispatcher.send(DispatcherMessage::Settings(settings)).await;
+            // If the dispatcher has ended, so does the process.
+            let _ = self.dispatcher.reload(config.settings.clone()).await;
         }
         self.discovery_address.send_if_modified(|address| {
             let is_changed = *address != config.discovery_address;
--- a/src/director/mod.rs
+++ b/src/director/mod.rs
@@ -156,9 +156,12 @@
     }
 
     /// Replaces the settings for new requests; pending ones keep theirs. Changes to zones and kinds are
-    /// ignored.
+    /// ignored. Requests that are sent after this call has returned have the new settings.
     pub async fn reload(&self, settings: Settings) -> Result<(), Stopped> {
-        self.send_message(DispatcherMessage::Settings(Box::new(settings))).await
+        if self.is_stopped() {
+            return Err(Stopped);
+        }
+        self.0.dispatcher.reload(settings).await.ok_or(Stopped)
     }
 
     /// Returns the current metrics.
--- a/src/dispatch/actor/mod.rs
+++ b/src/dispatch/actor/mod.rs
@@ -127,7 +127,10 @@
             DispatcherMessage::Drain { name, command, listed } => {
                 let _ = listed.send(self.override_drain(&name, command)); // the receiver may be gone
             }
-            DispatcherMessage::Settings(settings) => self.update_settings(*settings),
+            DispatcherMessage::Settings { settings, in_force } => {
+                self.update_settings(*settings);
+                let _ = in_force.send(()); // the receiver may be gone
+            }
             DispatcherMessage::Metrics(reply) => {
                 let _ = reply.send(self.metrics()); // the receiver may be gone
             }
--- a/src/dispatch/handle.rs
+++ b/src/dispatch/handle.rs
@@ -56,6 +56,15 @@
         RequestRules::of_class(self.settings(), class_name)
     }
 
+    /// Replaces the settings for requests to come, and returns once the new ones are in force. Returns `None`
+    /// if the actor has ended.
+    pub async fn reload(&self, settings: Settings) -> Option<()> {
+        let (in_force, replaced) = oneshot::channel();
+        let message = DispatcherMessage::Settings { settings: Box::new(settings), in_force };
+        self.mailbox.send(message).await.ok()?;
+        replaced.await.ok()
+    }
+
     /// Returns the metrics, or `None` if the actor has ended.
     pub async fn metrics(&self) -> Option<DispatcherMetrics> {
         let (reply, metrics) = oneshot::channel();
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -55,7 +55,12 @@
         listed: oneshot::Sender<bool>,
     },
     /// New settings, for requests to come.
-    Settings(Box<Settings>),
+    Settings {
+        /// The settings.
+        settings: Box<Settings>,
+        /// Told once the settings are in force.
+        in_force: oneshot::Sender<()>,
+    },
     /// Requests the metrics.
     Metrics(oneshot::Sender<DispatcherMetrics>),
     /// Until the next such message, no copy of any object from before this Unix time (microseconds) is
--- a/tests/admin_endpoint.rs
+++ b/tests/admin_endpoint.rs
@@ -177,8 +177,7 @@
         assert_eq!(send_request_text(&clients, &get("films", 1)).await.status, 404);
         let mut new_settings = settings();
         new_settings.classes[0].name = "films".into();
-        dispatcher.sender().send(DispatcherMessage::Settings(Box::new(new_settings))).await;
-        dispatcher.metrics().await.expect("a dispatcher");
+        dispatcher.reload(new_settings).await.expect("a dispatcher");
         assert_eq!(send_request_text(&clients, &get("films", 2)).await.status, 200);
         assert_eq!(send_request_text(&clients, &get("videos", 3)).await.status, 404);
         assert!(servers[0].requests()[0].contains("kind=films,"), "{:?}", servers[0].requests());
@@ -202,7 +201,7 @@
             tokio::task::yield_now().await;
         }
         let off = Settings { retry_after: false, ..settings() };
-        dispatcher.sender().send(DispatcherMessage::Settings(Box::new(off))).await;
+        dispatcher.reload(off).await.expect("a dispatcher");
         let before = pending.await.expect("a response");
         assert_eq!((before.status, before.header("x-wait-ms").is_some()), (503, true));
         let after = send_request_text(&clients, &short(2)).await;
--- a/tests/dispatch/fixture.rs
+++ b/tests/dispatch/fixture.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
 /// The Unix time in microseconds at which each test starts.
@@ -114,7 +114,8 @@
 
     /// Puts new settings into the dispatcher's mailbox without running any task.
     pub fn queue_settings(&self, settings: Settings) {
-        let message = DispatcherMessage::Settings(Box::new(settings));
+        let (in_force, _) = oneshot::channel();
+        let message = DispatcherMessage::Settings { settings: Box::new(settings), in_force };
         assert!(self.dispatcher.sender().try_send(message), "the mailbox is full");
     }
 }
--- a/tests/reload_classes.rs
+++ b/tests/reload_classes.rs
@@ -7,13 +7,18 @@
 #[path = "reload_classes/fixture.rs"]
 mod fixture;
 
+use emulated::settings;
 use fixture::*;
-use foxhold::director::CacheRequest;
+use foxhold::director::{CacheRequest, SendError};
 use foxhold::dispatch::ClientResponse;
 use http::StatusCode;
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// Most reloads during one request. Two are enough to hand its place in the settings to another class.
 const MAX_RELOADS: usize = 5;
+/// How long a reload is seen to wait for a director whose thread is blocked.
+const WAIT_WHILE_BLOCKED: Duration = Duration::from_millis(50);
 
 /// Guards against forwarding an upload as another class: the class was an index in the settings, chosen
 /// before the body was read, and two reloads during the body gave that index to another class.
@@ -52,3 +57,23 @@
         }
     });
 }
+
+/// Guards against a reload that returns before its settings are in force, so that requests sent after it are
+/// handled by the earlier ones.
+#[test]
+fn requests_sent_after_a_reload_has_returned_have_its_settings() {
+    run_on_two_threads(async {
+        let host = Host::start();
+        let unblock = host.block_director().await;
+        let mut settings = settings();
+        settings.classes[0].name = "pages".into();
+        let mut reload = std::pin::pin!(host.director.reload(settings));
+        assert!(timeout(WAIT_WHILE_BLOCKED, &mut reload).await.is_err(), "the director is still blocked");
+        drop(unblock);
+        reload.await.expect("a director");
+        let page = host.director.send(CacheRequest::new("pages", "a")).await;
+        assert!(matches!(page, Ok(ClientResponse::Served(_))), "{page:?}");
+        let removed = host.director.send(CacheRequest::new("videos", "a")).await;
+        assert_eq!(removed, Err(SendError::UnknownClass("videos".into())));
+    });
+}
--- a/tests/reload_classes/fixture.rs
+++ b/tests/reload_classes/fixture.rs
@@ -15,7 +15,7 @@
 use std::pin::Pin;
 use std::sync::{mpsc as std_mpsc, Arc, Mutex};
 use std::task::{Context, Poll};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tower::ServiceExt;
 
@@ -86,13 +86,13 @@
     /// Applies changed settings and returns once they are in force.
     pub async fn reload(&self, number: usize) {
         self.director.reload(changed_settings(number)).await.expect("a director");
-        // The director handles messages in order, so the settings are in force once it has replied.
-        self.director.metrics().await.expect("a director");
     }
 
     /// Puts changed settings into the director's mailbox.
     pub fn queue_reload(&self, number: usize) {
-        let message = DispatcherMessage::Settings(Box::new(changed_settings(number)));
+        let (in_force, _) = oneshot::channel();
+        let settings = Box::new(changed_settings(number));
+        let message = DispatcherMessage::Settings { settings, in_force };
         assert!(self.director.dispatcher().sender().try_send(message), "the mailbox is full");
     }
 
