Leave the stored endpoint list out where the start tells a complete one

Cause: events are numbered from 1 at each start, and the stored entry had a higher number, of the run before. It was merged first, won over the list of the start, and was handed to the dispatcher over what the configuration had told it.

Change: where the events at the start hold a complete list, the stored endpoint list is left out. Stored purges and operators' drains stay.

Why it works: no number of the run before takes part in a comparison any more.

--- a/src/cluster/startup.rs
+++ b/src/cluster/startup.rs
@@ -12,7 +12,7 @@
 use crate::discovery::WatchEvent;
 use crate::dispatch::{Clock, DispatcherSender};
 use crate::policy::types::Micros;
-use crate::replication::entry::Incarnation;
+use crate::replication::entry::{Incarnation, Key, Kind};
 use crate::replication::gossip::GossipProtocol;
 use crate::replication::state::{Bounds, ClockReading, ReplicatedState};
 use std::io;
@@ -76,7 +76,8 @@
     let now = ClockReading { monotonic: clock.now(), unix: clock.unix() };
     let incarnation = random();
     let mut state = ReplicatedState::new(Incarnation(incarnation), bounds(&section));
-    let (store, member_incarnation) = open_store(section.state_folder.as_deref(), &mut state, now)?;
+    let folder = section.state_folder.as_deref();
+    let (store, member_incarnation) = open_store(folder, &mut state, initial_events, now)?;
     for event in initial_events {
         source::apply(&mut state, event, now);
     }
@@ -109,6 +110,7 @@
 fn open_store(
     folder: Option<&Path>,
     state: &mut ReplicatedState,
+    initial_events: &[WatchEvent],
     now: ClockReading,
 ) -> Result<(Option<Store>, u64), StoreError> {
     let Some(folder) = folder else { return Ok((None, now.unix)) };
@@ -121,14 +123,25 @@
             "stored state is unreadable; file renamed, state will be fetched from peers"
         );
     }
-    restore(&stored, state, now);
+    restore(&stored, state, initial_events, now);
     Ok((Some(store), stored.incarnation))
 }
 
 /// Merges the stored entries into the state. If they are older than the retention time of tombstones, the
 /// endpoint list is dropped, as peers may have removed endpoints and forgotten the tombstones since.
-fn restore(stored: &StoredState, state: &mut ReplicatedState, now: ClockReading) {
-    let merged = stored.entries.iter().filter(|(key, value)| state.merge(key, value, now).is_ok()).count();
+///
+/// The stored endpoint list is also left out if the events at the start hold a complete one. That is the later
+/// one, but would lose the merge: events are numbered anew at each start, and stored revisions may be higher.
+fn restore(
+    stored: &StoredState,
+    state: &mut ReplicatedState,
+    initial_events: &[WatchEvent],
+    now: ClockReading,
+) {
+    let has_list = initial_events.iter().any(WatchEvent::is_complete_list);
+    let is_replaced = |key: &Key| has_list && key.kind() == Kind::Members;
+    let kept = stored.entries.iter().filter(|(key, _)| !is_replaced(key));
+    let merged = kept.filter(|(key, value)| state.merge(key, value, now).is_ok()).count();
     // If the clock was set back, the age is unknown and counts as too old.
     let age = now.unix.checked_sub(stored.saved_at);
     if stored.saved_at > 0 && age.is_none_or(|age| age > state.bounds().tombstone_retention) {
--- a/src/discovery/event.rs
+++ b/src/discovery/event.rs
@@ -51,6 +51,11 @@
 pub type Subscriber = Option<mpsc::Sender<WatchEvent>>;
 
 impl WatchEvent {
+    /// Returns whether the event is a complete member list.
+    pub fn is_complete_list(&self) -> bool {
+        matches!(self.change, WatchChange::Members { complete: true, .. })
+    }
+
     /// Returns the dispatcher message for this event, or `None` if the scope excludes the event or its kind
     /// is unknown.
     pub fn into_message(self, scope: WatchScope) -> Option<DispatcherMessage> {
