Keep what the own list and gossip report of an endpoint apart, and heed the safer

What callers saw: a director whose list runs behind had heard by gossip that a cache drains and kept to it, until its list told the older event by which the cache had joined.

Cause: the discovery client and the replicated state wrote one entry in the dispatcher, and the last to arrive won. Event numbers don't order the two, since each director's numbering begins at its start.

Change: dispatch::endpoint_sources keeps the last report of each source. The report on the later process is in force, and for one process the one that excludes it further. The replicated state's changes go to the dispatcher as ReplicatedMember, those by the own list included, so that both sources can end a drain together.

Evidence: tests/gossiped_endpoints.rs forces the order with two daemon processes and their discovery services, and failed before. tests/dispatch/endpoint_sources.rs has all orders. Why it works: whichever report comes last, the choice between the two is the same.

Left open: an endpoint that ended by the own list of a restarted director, is not replicated there yet, and comes with a higher number from a peer that is behind; and an event that the full queue to the gossip drops (1,024 events) leaves the replicated report as it was until a peer tells the event.

--- a/src/cluster/actor.rs
+++ b/src/cluster/actor.rs
@@ -159,15 +159,9 @@
     fn apply_watch_event(&mut self, event: &WatchEvent) {
         let now = self.now();
         for (key, entry) in source::apply(&mut self.replication.state, event, now) {
-            // The dispatcher receives the event from the source itself. Only a purge is sent to it again,
-            // with the retention that applies in the cluster.
-            if key.kind() == Kind::Purges {
-                self.dispatcher_feed.push(Update { key: key.clone(), value: entry.clone() });
-            }
-            self.persistence.mark_changed(&key);
-            if let Key::Endpoint(name) = &key {
-                self.dispatcher_feed.recheck_drain(name, &self.replication.state);
-            }
+            // The dispatcher receives the event from the source itself as well. A purge is sent to it again with
+            // the retention that applies in the cluster, and a server because its replicated entry has changed.
+            self.accept(Update { key: key.clone(), value: entry.clone() });
             self.replication.publish(Some((key, entry)));
         }
     }
--- a/src/cluster/dispatcher_feed.rs
+++ b/src/cluster/dispatcher_feed.rs
@@ -38,11 +38,6 @@
         }
     }
 
-    /// Queues an update without the handling of drain overrides.
-    pub(super) fn push(&mut self, update: Update) {
-        self.updates.push_back(update);
-    }
-
     /// Schedules a server's drain to be sent again if it is in force, as the dispatcher discards it when
     /// another process runs under the server's name.
     pub(super) fn recheck_drain(&mut self, server: &str, state: &ReplicatedState) {
@@ -100,7 +95,7 @@
                 retention: self.purge_retention,
             }),
             (Key::Endpoint(name), Value::Endpoint(_, record)) => {
-                Some(DispatcherMessage::Members { full: false, members: vec![record.to_endpoint(name)] })
+                Some(DispatcherMessage::ReplicatedMember(Box::new(record.to_endpoint(name))))
             }
             _ => None,
         }
--- a/src/dispatch/actor/mod.rs
+++ b/src/dispatch/actor/mod.rs
@@ -124,6 +124,7 @@
                 let kind = if full { MemberUpdate::Full } else { MemberUpdate::Incremental };
                 self.update_members(kind, members);
             }
+            DispatcherMessage::ReplicatedMember(member) => self.update_replicated_member(*member),
             DispatcherMessage::Drain { name, command, listed } => {
                 let _ = listed.send(self.override_drain(&name, command)); // the receiver may be gone
             }
--- a/src/dispatch/endpoint_registry.rs
+++ b/src/dispatch/endpoint_registry.rs
@@ -1,5 +1,8 @@
 //! The endpoint registry: the servers of the endpoint list, with their numbers and connection actors.
+//!
+//! An update of a list is recorded first, which gives the reports that are in force; these are applied then.
 
+use super::endpoint_sources::EndpointSources;
 use super::naming::server_number;
 use crate::dispatch::membership::{DrainOverrides, Endpoint};
 use crate::dispatch::{Clock, DispatcherSender, DrainCommand, EndpointCommand, EndpointConnector};
@@ -52,6 +55,7 @@
     clock: Clock,
     endpoints: HashMap<ServerId, RegisteredEndpoint>,
     numbers: HashMap<Arc<str>, ServerId>,
+    sources: EndpointSources,
     drains: DrainOverrides,
 }
 
@@ -64,6 +68,7 @@
             clock,
             endpoints: HashMap::new(),
             numbers: HashMap::new(),
+            sources: EndpointSources::default(),
             drains: DrainOverrides::default(),
         }
     }
@@ -81,7 +86,7 @@
     /// Returns the number of registered servers: those in the endpoint list, and those that are gone but
     /// still have attempts in flight.
     pub(super) fn len(&self) -> usize {
-        self.endpoints.len().max(self.numbers.len())
+        self.endpoints.len().max(self.numbers.len()).max(self.sources.len())
     }
 
     /// Returns the number of messages queued in the mailbox to which the connection actors report.
@@ -119,8 +124,7 @@
             DrainCommand::Drain => self.drains.begin(&listing),
             DrainCommand::Undrain => {
                 if self.drains.end(name) {
-                    // The state last reported by the server's source is not stored, so the server counts as
-                    // running until the source reports another state.
+                    // The server counts as running until its source reports another state.
                     listing.state = MemberState::Running;
                 }
             }
@@ -128,7 +132,17 @@
         Some(listing)
     }
 
-    /// Applies an update of the endpoint list. A full update marks all servers that it does not name as gone.
+    /// Records an update of the director's own list. Returns the listings to apply.
+    pub(super) fn record_own(&mut self, kind: MemberUpdate, listings: Vec<Endpoint>) -> Vec<Endpoint> {
+        self.sources.update_own(kind, listings)
+    }
+
+    /// Records a server's entry in the replicated state. Returns the listing to apply, if there is one.
+    pub(super) fn record_replicated(&mut self, listing: Endpoint) -> Option<Endpoint> {
+        self.sources.update_replicated(listing)
+    }
+
+    /// Applies listings that are in force. A full update marks all servers that it does not name as gone.
     pub(super) fn apply_update(
         &mut self,
         kind: MemberUpdate,
@@ -137,6 +151,7 @@
     ) -> RegistryUpdate {
         listings.iter_mut().for_each(|listing| self.drains.apply(listing));
         if kind == MemberUpdate::Full {
+            listings.retain(|listing| listing.state != MemberState::Gone);
             self.endpoints.values_mut().for_each(|e| e.listing.state = MemberState::Gone);
         }
         let mut update = RegistryUpdate::default();
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -34,13 +34,16 @@
     AttemptEnded(AttemptId, AttemptResult),
     /// The health check with this number has ended.
     HealthChecked(u64, Result<HealthReport, AttemptError>),
-    /// An update of the endpoint list.
+    /// An update of the director's own endpoint list.
     Members {
         /// Whether this is the complete list rather than a change to it.
         full: bool,
         /// The endpoints that are listed or changed.
         members: Vec<Endpoint>,
     },
+    /// A server's entry in the state that directors replicate has changed. Where it contradicts the director's
+    /// own list, the report on the later process is in force, or else the one that excludes the server further.
+    ReplicatedMember(Box<Endpoint>),
     /// An attempt has been completely written.
     AttemptWritten(AttemptId),
     /// An attempt was cancelled by command. The error shows how far the attempt had come.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 //! | `attempt`, `cancellation`, `endpoint`, `message`, `request` | the types of the messages |
 //! | `handle` | the handle that frontends and middleware use |
 //! | `pending_requests`, `attempts_in_flight`, `endpoint_registry` | the actor's main tables |
+//! | `endpoint_sources` | what the sources of endpoint lists report, and which report is in force |
 //! | `timers`, `health_checks`, `purge_records`, `counters`, `published_settings` | other tables |
 //! | [`cancellation_log`] | whether requests cancelled by their clients may have run |
 //! | [`membership`] | endpoints, and drain overrides that take precedence over their sources |
@@ -24,6 +25,7 @@
 mod counters;
 mod endpoint;
 mod endpoint_registry;
+mod endpoint_sources;
 mod handle;
 mod health_checks;
 pub mod membership;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -4,6 +4,8 @@
 
 #[path = "dispatch/credentials.rs"]
 mod credentials;
+#[path = "dispatch/endpoint_sources.rs"]
+mod endpoint_sources;
 #[path = "dispatch/endpoints.rs"]
 mod endpoints;
 #[path = "dispatch/fixture.rs"]
--- /dev/null
+++ b/tests/gossiped_endpoints.rs
@@ -0,0 +1,127 @@
+//! Two directors that gossip, one of which has a discovery service that is behind: what both have heard is not
+//! undone by the older events of the one.
+#![cfg(all(feature = "cli", feature = "peers"))]
+
+mod emulated;
+mod program;
+
+use emulated::{run_local, send_request_text, start_cache_parent_origin, EmulatedServer, ServerBehavior};
+use program::{example_config, free_address, read_request, send_command, Program, StartOptions, TempFile};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+const COPY: ServerBehavior = ServerBehavior::Responds("ID ACK res=cached 5\r\nbytes\r\n");
+/// How long a change may take to be in force at both directors.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a director has handled what its discovery service has sent.
+const HANDLING_TIME: Duration = Duration::from_millis(100);
+const REQUESTS: u64 = 20;
+
+/// A director with a discovery service that the test speaks for.
+struct Director {
+    program: Program,
+    admin: String,
+    watch: BufReader<TcpStream>,
+    _files: [TempFile; 3],
+}
+
+impl Director {
+    /// Starts a director that gossips at `addresses[number]`, and accepts its watch.
+    async fn start(number: usize, addresses: &[String; 2], servers: &[EmulatedServer; 3]) -> Director {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let discovery_address = discovery.local_addr().expect("a bound address").to_string();
+        let admin = free_address();
+        let servers = servers.each_ref().map(|server| server.address.as_str());
+        let file = |kind: &str, text: &str| TempFile::new(&format!("gossip-{number}-{kind}"), text);
+        let config = file("config", &example_config(1024, &discovery_address, &admin, servers));
+        let key = file("key", "c2VjcmV0c2VjcmV0c2VjcmV0\n");
+        let (own, seed, key_file) = (&addresses[number], &addresses[1 - number], key.0.display());
+        let operator = format!(
+            "peers: {{listen: \"{own}\", name: d{number}, fleet: example, key: {key_file}, seeds: [\"{seed}\"]}}\n"
+        );
+        let operator = file("operator", &operator);
+        let options = StartOptions {
+            config: Some(&config.0),
+            operator: Some(&operator.0),
+            // The first line of the log has to name the address.
+            log_level: Some("info,foxhold::cluster=warn"),
+            ..StartOptions::default()
+        };
+        let program = options.start();
+        let mut watch = BufReader::new(discovery.accept().await.expect("a director").0);
+        watch.read_line(&mut String::new()).await.expect("a request");
+        Director { program, admin, watch, _files: [config, key, operator] }
+    }
+
+    async fn send_event(&mut self, event: &str) {
+        self.watch.write_all(event.as_bytes()).await.expect("a connected director");
+    }
+
+    /// Waits until the director lists this number of endpoints and excludes this number of them.
+    async fn wait_for_endpoints(&mut self, known: usize, excluded: usize) {
+        let expected = format!("\"caches_known\":{known},\"caches_excluded\":{excluded}");
+        let until = Instant::now() + EVENT_TIMEOUT;
+        loop {
+            let metrics = send_command(&self.admin, "vars\n").await.unwrap_or_default();
+            if metrics.contains(&expected) {
+                return;
+            }
+            assert!(Instant::now() < until, "expected {expected} in {metrics}");
+            self.send_event("1\n").await; // a heartbeat
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends requests and returns how many of them the cache has received.
+    async fn requests_at_cache(&self, cache: &EmulatedServer) -> usize {
+        let before = cache.requests().len();
+        for id in 0..REQUESTS {
+            let response = send_request_text(&self.program.address, &read_request(id, 1_500)).await;
+            assert_eq!(response.status, 200);
+        }
+        cache.requests().len() - before
+    }
+}
+
+fn cache_event(revision: u64, phase: &str, started_at_ms: u64, cache: &EmulatedServer) -> String {
+    format!(
+        "{{\"rev\":{revision},\"pool\":{{\"members\":[{{\"id\":\"example-cache\",\"host_port\":\"{}\",\
+         \"locality\":\"branch\",\"flavor\":\"cache\",\"phase\":\"{phase}\",\"size\":8,\
+         \"up_since_ms\":{started_at_ms}}}]}}}}\n",
+        cache.address
+    )
+}
+
+/// Starts two directors that gossip.
+async fn start_directors(servers: &[EmulatedServer; 3]) -> [Director; 2] {
+    let socket = || std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let sockets = [socket(), socket()];
+    let addresses = sockets.each_ref().map(|s| s.local_addr().expect("a bound address").to_string());
+    drop(sockets);
+    let first = Director::start(0, &addresses, servers).await;
+    [first, Director::start(1, &addresses, servers).await]
+}
+
+/// Guards against an older event of a director's own list that undoes a drain which gossip has brought.
+#[test]
+fn an_older_event_of_the_own_list_does_not_undo_a_gossiped_drain() {
+    run_local(async {
+        let (servers, _) = start_cache_parent_origin(COPY).await;
+        let cache = &servers[0];
+        let [mut current, mut behind] = start_directors(&servers).await;
+        assert!(behind.requests_at_cache(cache).await > 0, "the cache is in service");
+        current.send_event(&cache_event(2, "in_service", 0, cache)).await;
+        current.send_event(&cache_event(3, "terminating", 0, cache)).await;
+        behind.wait_for_endpoints(3, 1).await;
+        behind.send_event(&cache_event(2, "in_service", 0, cache)).await;
+        sleep(HANDLING_TIME).await;
+        assert_eq!(behind.requests_at_cache(cache).await, 0, "the cache drains");
+        // What ends the drain still does: another process, or the list itself once it is as far.
+        behind.send_event(&cache_event(3, "terminating", 0, cache)).await;
+        behind.send_event(&cache_event(4, "in_service", 0, cache)).await;
+        behind.wait_for_endpoints(3, 0).await;
+        assert!(behind.requests_at_cache(cache).await > 0, "the list ends the drain");
+    });
+}
