Heed the end of an endpoint that only gossip tells

What callers saw: a director whose own discovery service was down or behind went on sending to a cache that had ended, although the replicated state said so.

Cause: the end of an endpoint is replicated with its name alone, and the registry ignored an entry without zone and kind before it looked at the state.

Change: endpoint_sources completes an end by what was last reported of the server; the process that was replicated last has ended, and a later one that the own list tells is used.

Evidence: a_gossiped_end_takes_effect_before_the_own_list_tells_it (two daemon processes) and a_replicated_end_takes_effect_without_the_properties_of_the_server failed before.

--- a/src/dispatch/endpoint_sources.rs
+++ b/src/dispatch/endpoint_sources.rs
@@ -37,6 +37,19 @@
         self.own = last.map(|last| Endpoint { state: MemberState::Gone, ..last.clone() });
     }
 
+    /// Records an entry of the replicated state. That of an end names neither the process nor the server's
+    /// properties; the process is the one that was replicated last.
+    fn replace_replicated(&mut self, listing: Endpoint) {
+        let started_at = self.replicated.as_ref().map_or(listing.started_at, |last| last.started_at);
+        let last = self.replicated.take().or_else(|| self.own.clone());
+        self.replicated = Some(match last {
+            Some(last) if listing.state == MemberState::Gone => {
+                Endpoint { state: MemberState::Gone, started_at, ..last }
+            }
+            _ => listing,
+        });
+    }
+
     fn is_obsolete(&self) -> bool {
         let is_gone = |report: &Endpoint| report.state == MemberState::Gone;
         self.own.as_ref().is_none_or(is_gone) && self.replicated.as_ref().is_none_or(is_gone)
@@ -97,7 +110,7 @@
     pub(super) fn update_replicated(&mut self, listing: Endpoint) -> Option<Endpoint> {
         let name = listing.name.clone();
         let reports = self.0.entry(name.clone()).or_default();
-        reports.replicated = Some(listing);
+        reports.replace_replicated(listing);
         self.take_in_force(vec![name]).pop()
     }
 
--- a/tests/dispatch/endpoint_sources.rs
+++ b/tests/dispatch/endpoint_sources.rs
@@ -128,3 +128,21 @@
         assert!(is_used(&site).await, "a full list brings a server back");
     });
 }
+
+/// Guards against the end of a server that is ignored: it is replicated without zone, kind and process.
+#[test]
+fn a_replicated_end_takes_effect_without_the_properties_of_the_server() {
+    for started_at in [0, 5] {
+        run_with_paused_clock(async {
+            let site = site();
+            send(&site, Report::Own(cache(MemberState::Running, started_at))).await;
+            send(&site, Report::Replicated(cache(MemberState::Running, started_at))).await;
+            assert!(is_used(&site).await);
+            let tombstone = Endpoint { state: MemberState::Gone, ..endpoint_listing("cache-1", "", "", "") };
+            send(&site, Report::Replicated(tombstone)).await;
+            assert!(!is_used(&site).await, "the process that started at {started_at} has ended");
+            send(&site, Report::Own(cache(MemberState::Running, 9))).await;
+            assert!(is_used(&site).await, "a later process is used");
+        });
+    }
+}
--- a/tests/gossiped_endpoints.rs
+++ b/tests/gossiped_endpoints.rs
@@ -34,7 +34,9 @@
         let discovery_address = discovery.local_addr().expect("a bound address").to_string();
         let admin = free_address();
         let servers = servers.each_ref().map(|server| server.address.as_str());
-        let file = |kind: &str, text: &str| TempFile::new(&format!("gossip-{number}-{kind}"), text);
+        // Tests run beside each other, and the port tells their directors apart.
+        let port = addresses[number].rsplit(':').next().expect("a port");
+        let file = |kind: &str, text: &str| TempFile::new(&format!("gossip-{port}-{kind}"), text);
         let config = file("config", &example_config(1024, &discovery_address, &admin, servers));
         let key = file("key", "c2VjcmV0c2VjcmV0c2VjcmV0\n");
         let (own, seed, key_file) = (&addresses[number], &addresses[1 - number], key.0.display());
@@ -125,3 +127,20 @@
         assert!(behind.requests_at_cache(cache).await > 0, "the list ends the drain");
     });
 }
+
+/// Guards against the end of an endpoint that is ignored where only gossip tells it.
+#[test]
+fn a_gossiped_end_takes_effect_before_the_own_list_tells_it() {
+    run_local(async {
+        let (servers, _) = start_cache_parent_origin(COPY).await;
+        let cache = &servers[0];
+        let [mut current, mut behind] = start_directors(&servers).await;
+        current.send_event(&cache_event(2, "terminated", 0, cache)).await;
+        behind.wait_for_endpoints(2, 0).await;
+        assert_eq!(behind.requests_at_cache(cache).await, 0, "the cache has ended");
+        behind.send_event(&cache_event(2, "terminated", 0, cache)).await;
+        behind.send_event(&cache_event(3, "in_service", 1_764_576_000_000, cache)).await;
+        behind.wait_for_endpoints(3, 0).await;
+        assert!(behind.requests_at_cache(cache).await > 0, "another process runs there");
+    });
+}
