Let an undrain end the override alone, not the drain that the list reports

What callers saw: an operator drained a cache, its list drained it as well, and the operator withdrew the drain. From then on the cache got requests again.

Cause: the registry kept one state for each endpoint, with the override in it, and took the server for running after an undrain.

Change: the registry takes what the sources report from endpoint_sources. That the gossip sends an endpoint's entry again after an undrain is no longer needed and gone.

Evidence: an_undrain_ends_the_override_and_not_the_drain_of_the_list failed before.

Measured: dispatch, gossiped_endpoints, library and membership pass on this commit.

--- a/src/cluster/dispatcher_feed.rs
+++ b/src/cluster/dispatcher_feed.rs
@@ -63,7 +63,7 @@
             return;
         }
         self.drains.collect_replies(now);
-        self.updates.extend(self.drains.flush(&self.dispatcher, state, now));
+        self.drains.flush(&self.dispatcher, state, now);
     }
 
     /// Sends queued updates. Returns `false` if the mailbox is full.
--- a/src/cluster/drain_feed.rs
+++ b/src/cluster/drain_feed.rs
@@ -3,7 +3,6 @@
 use super::LOG_TARGET;
 use crate::dispatch::{DispatcherMessage, DispatcherSender};
 use crate::replication::entry::{DrainCommand, Key, Kind, Value};
-use crate::replication::gossip::Update;
 use crate::replication::state::ReplicatedState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -59,18 +58,10 @@
         self.unanswered = unanswered;
     }
 
-    /// Sends the drain overrides that are due, as far as the dispatcher's mailbox has capacity. Returns the
-    /// entries of endpoints whose drain has ended, to be sent again: the dispatcher does not keep what the
-    /// source reported during the drain.
-    pub(super) fn flush(
-        &mut self,
-        dispatcher: &DispatcherSender,
-        state: &ReplicatedState,
-        now: Instant,
-    ) -> Vec<Update> {
+    /// Sends the drain overrides that are due, as far as the dispatcher's mailbox has capacity.
+    pub(super) fn flush(&mut self, dispatcher: &DispatcherSender, state: &ReplicatedState, now: Instant) {
         let due = self.due.iter().filter(|(_, at)| **at <= now).map(|(server, _)| server.clone());
         let due: Vec<String> = due.collect();
-        let mut endpoints = Vec::new();
         for server in due {
             self.due.remove(&server);
             let Some(command) = drain_in_force(state, &server) else { continue };
@@ -88,11 +79,9 @@
                 }
                 DrainCommand::Undrain => {
                     self.sent_servers.remove(&server);
-                    endpoints.extend(endpoint_update(state, server));
                 }
             }
         }
-        endpoints
     }
 }
 
@@ -107,12 +96,6 @@
     dispatcher.try_send(message).then_some(receiver)
 }
 
-fn endpoint_update(state: &ReplicatedState, server: String) -> Option<Update> {
-    let key = Key::Endpoint(server);
-    let value = state.get(&key)?.clone();
-    Some(Update { key, value })
-}
-
 /// Returns the drain command that applies to the process listed under a server's name. A drain of an earlier
 /// process counts as an undrain. Returns `None` if there is no command, the server is gone, or its endpoint
 /// is not known yet.
--- a/src/dispatch/endpoint_registry.rs
+++ b/src/dispatch/endpoint_registry.rs
@@ -112,22 +112,17 @@
         }
     }
 
-    /// Records that a server is to be drained or no longer drained. Returns its listing, which the caller
-    /// must apply again. Returns `None` if the server is not listed.
+    /// Records that a server is to be drained or no longer drained. Returns what its sources report, which
+    /// the caller must apply again. Returns `None` if the server is not listed.
     pub(super) fn override_drain(&mut self, name: &Arc<str>, command: DrainCommand) -> Option<Endpoint> {
         let endpoint = self.numbers.get(name).and_then(|server| self.endpoints.get(server))?;
         if endpoint.is_gone() {
             return None;
         }
-        let mut listing = endpoint.listing.clone();
+        let listing = self.sources.in_force(name)?;
         match command {
             DrainCommand::Drain => self.drains.begin(&listing),
-            DrainCommand::Undrain => {
-                if self.drains.end(name) {
-                    // The server counts as running until its source reports another state.
-                    listing.state = MemberState::Running;
-                }
-            }
+            DrainCommand::Undrain => drop(self.drains.end(name)),
         }
         Some(listing)
     }
--- a/tests/dispatch/endpoint_sources.rs
+++ b/tests/dispatch/endpoint_sources.rs
@@ -146,3 +146,21 @@
         });
     }
 }
+
+/// Guards against an undrain that puts a server into service which its list drains.
+#[test]
+fn an_undrain_ends_the_override_and_not_the_drain_of_the_list() {
+    run_with_paused_clock(async {
+        let site = site();
+        site.dispatcher.drain("cache-1", DrainCommand::Drain).await.expect("a dispatcher");
+        assert!(!is_used(&site).await);
+        site.dispatcher.drain("cache-1", DrainCommand::Undrain).await.expect("a dispatcher");
+        assert!(is_used(&site).await, "the list has the server in service");
+        site.dispatcher.drain("cache-1", DrainCommand::Drain).await.expect("a dispatcher");
+        send(&site, Report::Own(cache(MemberState::Draining, 0))).await;
+        site.dispatcher.drain("cache-1", DrainCommand::Undrain).await.expect("a dispatcher");
+        assert!(!is_used(&site).await, "the list drains the server");
+        send(&site, Report::Own(cache(MemberState::Running, 0))).await;
+        assert!(is_used(&site).await);
+    });
+}
