Keep the discovery service's list out of the gossip where the list is in xDS form

An operator's drain of a server that only the file lists was accepted and never applied.

Cause: by the README only purges are taken from the discovery service then. The gossip got all of its events, applied the members in the configuration at the start, and handed every entry to the dispatcher. A drain waited for an entry of the server, which there is none of.

Change: the scope of the watch events applies to the gossip too: at the start, for the watch, and for what is delivered to the dispatcher. Drains go by the server's name then.

Why it works: no entry of the replicated list reaches a dispatcher whose list is another.

--- a/src/cluster/actor.rs
+++ b/src/cluster/actor.rs
@@ -11,7 +11,7 @@
 use super::store::Store;
 use super::transport::Transport;
 use crate::config::operator::PeersSection;
-use crate::discovery::WatchEvent;
+use crate::discovery::{WatchEvent, WatchScope};
 use crate::dispatch::{Clock, DispatcherSender};
 use crate::policy::types::Micros;
 use crate::replication::entry::{Key, Kind, Value};
@@ -48,6 +48,8 @@
     pub(super) commands: mpsc::Receiver<ClusterCommand>,
     /// Watch events of the local discovery source.
     pub(super) watch_events: mpsc::Receiver<WatchEvent>,
+    /// The watch events that the director uses.
+    pub(super) scope: WatchScope,
 }
 
 /// The cluster actor. Idle until [`Actor::run`] is called.
@@ -74,6 +76,7 @@
             dispatcher_feed: DispatcherFeed::new(
                 parts.dispatcher,
                 section.purge_retention.as_micros() as Micros,
+                parts.scope,
             ),
             persistence: Persistence::new(parts.store, now),
             catch_up: CatchUpMonitor::new(section.catch_up_timeout, now),
--- a/src/cluster/dispatcher_feed.rs
+++ b/src/cluster/dispatcher_feed.rs
@@ -1,9 +1,10 @@
 //! Delivers replicated updates to the dispatcher without waiting for capacity in its mailbox.
 
-use super::drain_feed::{drain_in_force, DrainFeed};
+use super::drain_feed::DrainFeed;
+use crate::discovery::WatchScope;
 use crate::dispatch::{DispatcherMessage, DispatcherSender};
 use crate::policy::types::Micros;
-use crate::replication::entry::{DrainCommand, Key, Value};
+use crate::replication::entry::{Key, Value};
 use crate::replication::gossip::Update;
 use crate::replication::state::ReplicatedState;
 use std::collections::VecDeque;
@@ -15,14 +16,21 @@
     dispatcher: DispatcherSender,
     /// How long the dispatcher keeps a purge, in microseconds.
     purge_retention: Micros,
+    /// Whether the replicated endpoint list is applied.
+    scope: WatchScope,
     updates: VecDeque<Update>,
     drains: DrainFeed,
 }
 
 impl DispatcherFeed {
     /// Creates an empty queue.
-    pub(super) fn new(dispatcher: DispatcherSender, purge_retention: Micros) -> DispatcherFeed {
-        DispatcherFeed { dispatcher, purge_retention, updates: VecDeque::new(), drains: DrainFeed::default() }
+    pub(super) fn new(
+        dispatcher: DispatcherSender,
+        purge_retention: Micros,
+        scope: WatchScope,
+    ) -> DispatcherFeed {
+        let (updates, drains) = (VecDeque::new(), DrainFeed::new(scope));
+        DispatcherFeed { dispatcher, purge_retention, scope, updates, drains }
     }
 
     /// Queues an update of the replicated state. Drain overrides go through [`DrainFeed`]; an endpoint update
@@ -30,22 +38,16 @@
     pub(super) fn accept(&mut self, update: Update, state: &ReplicatedState) {
         match (&update.key, &update.value) {
             (Key::Drain(server), Value::Drain(record)) => self.drains.handle_change(server, record.command()),
+            // The director's list comes from a source of its own, which is not replicated.
+            (Key::Endpoint(_), _) if self.scope == WatchScope::PurgesOnly => {}
             (Key::Endpoint(name), Value::Endpoint(..)) => {
-                self.recheck_drain(name, state);
+                self.drains.recheck(name, state);
                 self.updates.push_back(update);
             }
             _ => self.updates.push_back(update),
         }
     }
 
-    /// Schedules a server's drain to be sent again if it is in force, as the dispatcher discards it when
-    /// another process runs under the server's name.
-    pub(super) fn recheck_drain(&mut self, server: &str, state: &ReplicatedState) {
-        if drain_in_force(state, server) == Some(DrainCommand::Drain) {
-            self.drains.schedule(server);
-        }
-    }
-
     /// Returns whether all updates have been put into the dispatcher's mailbox.
     pub(super) fn is_empty(&self) -> bool {
         self.updates.is_empty()
--- a/src/cluster/drain_feed.rs
+++ b/src/cluster/drain_feed.rs
@@ -1,6 +1,7 @@
 //! Delivers operators' drain overrides to the dispatcher, with retries until it has applied them.
 
 use super::LOG_TARGET;
+use crate::discovery::WatchScope;
 use crate::dispatch::{DispatcherMessage, DispatcherSender};
 use crate::replication::entry::{DrainCommand, Key, Kind, Value};
 use crate::replication::state::ReplicatedState;
@@ -13,8 +14,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A queue of drain overrides for the dispatcher.
-#[derive(Default)]
 pub(super) struct DrainFeed {
+    /// Whether the replicated endpoint list is the dispatcher's.
+    scope: WatchScope,
     /// Servers whose drain override is to be sent, and the earliest time to send it.
     due: BTreeMap<String, Instant>,
     /// Servers whose drain was sent, and the dispatcher's pending replies.
@@ -24,6 +26,11 @@
 }
 
 impl DrainFeed {
+    /// Creates an empty queue.
+    pub(super) fn new(scope: WatchScope) -> DrainFeed {
+        DrainFeed { scope, due: BTreeMap::new(), unanswered: Vec::new(), sent_servers: BTreeSet::new() }
+    }
+
     /// Logs that the drain override of a server was set or cleared, and schedules it for the next flush.
     pub(super) fn handle_change(&mut self, server: &str, command: DrainCommand) {
         match command {
@@ -64,7 +71,7 @@
         let due: Vec<String> = due.collect();
         for server in due {
             self.due.remove(&server);
-            let Some(command) = drain_in_force(state, &server) else { continue };
+            let Some(command) = self.drain_in_force(state, &server) else { continue };
             if command == DrainCommand::Undrain && !self.sent_servers.contains(&server) {
                 continue;
             }
@@ -83,6 +90,34 @@
             }
         }
     }
+
+    /// Schedules a server's drain to be sent again if it is in force, as the dispatcher discards it when
+    /// another process runs under the server's name.
+    pub(super) fn recheck(&mut self, server: &str, state: &ReplicatedState) {
+        if self.drain_in_force(state, server) == Some(DrainCommand::Drain) {
+            self.schedule(server);
+        }
+    }
+
+    /// Returns the drain command that applies to the process listed under a server's name. A drain of an
+    /// earlier process counts as an undrain. Returns `None` if there is no command, the server is gone, or its
+    /// endpoint is not known yet.
+    fn drain_in_force(&self, state: &ReplicatedState, server: &str) -> Option<DrainCommand> {
+        let Some(Value::Drain(drain)) = state.get(&Key::Drain(server.into())) else { return None };
+        if self.scope == WatchScope::PurgesOnly {
+            return Some(drain.command()); // The replicated list says nothing of the dispatcher's servers.
+        }
+        match state.get(&Key::Endpoint(server.into())) {
+            Some(Value::Endpoint(_, record)) if record.is_gone() => None,
+            Some(Value::Endpoint(_, record)) if record.started_at > drain.started_at => {
+                Some(DrainCommand::Undrain)
+            }
+            // The command is sent once the server is listed. If no endpoint list is replicated, the dispatcher
+            // has the server from its own source.
+            None if state.count(Kind::Members) > 0 => None,
+            _ => Some(drain.command()),
+        }
+    }
 }
 
 /// Sends a command to the dispatcher and returns the receiver of its reply, or `None` if the mailbox is full.
@@ -95,20 +130,3 @@
     let message = DispatcherMessage::Drain { name: server.into(), command, listed: reply };
     dispatcher.try_send(message).then_some(receiver)
 }
-
-/// Returns the drain command that applies to the process listed under a server's name. A drain of an earlier
-/// process counts as an undrain. Returns `None` if there is no command, the server is gone, or its endpoint
-/// is not known yet.
-pub(super) fn drain_in_force(state: &ReplicatedState, server: &str) -> Option<DrainCommand> {
-    let Some(Value::Drain(drain)) = state.get(&Key::Drain(server.into())) else { return None };
-    match state.get(&Key::Endpoint(server.into())) {
-        Some(Value::Endpoint(_, record)) if record.is_gone() => None,
-        Some(Value::Endpoint(_, record)) if record.started_at > drain.started_at => {
-            Some(DrainCommand::Undrain)
-        }
-        // The command is sent once the server is listed. If no endpoint list is replicated, the dispatcher
-        // has the server from its own source.
-        None if state.count(Kind::Members) > 0 => None,
-        _ => Some(drain.command()),
-    }
-}
--- a/src/cluster/startup.rs
+++ b/src/cluster/startup.rs
@@ -9,7 +9,7 @@
 use super::transport::Transport;
 use super::{random, source, LOG_TARGET};
 use crate::config::operator::PeersSection;
-use crate::discovery::WatchEvent;
+use crate::discovery::{WatchEvent, WatchScope};
 use crate::dispatch::{Clock, DispatcherSender};
 use crate::policy::types::Micros;
 use crate::replication::entry::{Incarnation, Key, Kind};
@@ -62,13 +62,15 @@
 /// Reads the keys, opens the socket and the stored state, and returns the actor with a handle to it.
 ///
 /// `initial_events` are the watch events that the configuration contains; `watch_events` delivers the later
-/// ones of the discovery source.
+/// ones of the discovery source. Of both, the director uses those that `scope` selects. Without member changes
+/// among them its list comes from elsewhere, and the replicated list is not applied.
 pub async fn open(
     section: PeersSection,
     dispatcher: DispatcherSender,
     clock: Clock,
     initial_events: &[WatchEvent],
     watch_events: mpsc::Receiver<WatchEvent>,
+    scope: WatchScope,
 ) -> Result<(ClusterHandle, Actor), StartError> {
     let codec = read_keys(&section)?;
     let address = section.listen;
@@ -77,7 +79,8 @@
     let incarnation = random();
     let mut state = ReplicatedState::new(Incarnation(incarnation), bounds(&section));
     let folder = section.state_folder.as_deref();
-    let (store, member_incarnation) = open_store(folder, &mut state, initial_events, now)?;
+    let initial_events: Vec<_> = initial_events.iter().filter(|event| event.is_in(scope)).collect();
+    let (store, member_incarnation) = open_store(folder, &mut state, &initial_events, now)?;
     for event in initial_events {
         source::apply(&mut state, event, now);
     }
@@ -92,6 +95,7 @@
         clock,
         commands,
         watch_events,
+        scope,
         section,
     });
     Ok((ClusterHandle(sender), actor))
@@ -110,7 +114,7 @@
 fn open_store(
     folder: Option<&Path>,
     state: &mut ReplicatedState,
-    initial_events: &[WatchEvent],
+    initial_events: &[&WatchEvent],
     now: ClockReading,
 ) -> Result<(Option<Store>, u64), StoreError> {
     let Some(folder) = folder else { return Ok((None, now.unix)) };
@@ -135,10 +139,10 @@
 fn restore(
     stored: &StoredState,
     state: &mut ReplicatedState,
-    initial_events: &[WatchEvent],
+    initial_events: &[&WatchEvent],
     now: ClockReading,
 ) {
-    let has_list = initial_events.iter().any(WatchEvent::is_complete_list);
+    let has_list = initial_events.iter().any(|event| event.is_complete_list());
     let is_replaced = |key: &Key| has_list && key.kind() == Kind::Members;
     let kept = stored.entries.iter().filter(|(key, _)| !is_replaced(key));
     let merged = kept.filter(|(key, value)| state.merge(key, value, now).is_ok()).count();
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -55,7 +55,12 @@
         }
         let clock = Clock::system();
         let (subscriber, events) = self.peers.as_ref().map(|_| mpsc::channel(EVENT_QUEUE_LEN)).unzip();
-        let sources = endpoint_sources(self.discovery_address, self.xds_file, config, subscriber);
+        // With endpoints from a file, only purges are taken from the discovery service.
+        let scope = match self.xds_file {
+            Some(_) => WatchScope::PurgesOnly,
+            None => WatchScope::MembersAndPurges,
+        };
+        let sources = endpoint_sources(self.discovery_address, self.xds_file, config, scope, subscriber);
         let connector = UpstreamConnector::new(config.connections.clone(), upstream_limit);
         let connector = Box::new(connector.with_memory(memory.clone()));
         let RunningDispatcher { dispatcher, task: dispatcher_task } =
@@ -63,7 +68,7 @@
         #[cfg(feature = "peers")]
         let cluster = match self.peers.zip(events) {
             Some((section, events)) => {
-                Some(start_cluster(section, &dispatcher, clock, config, events).await?)
+                Some(start_cluster(section, &dispatcher, clock, config, events, scope).await?)
             }
             None => None,
         };
@@ -82,10 +87,9 @@
     discovery_address: watch::Receiver<String>,
     xds_file: Option<PathBuf>,
     config: &PlatformConfig,
+    scope: WatchScope,
     subscriber: Option<mpsc::Sender<WatchEvent>>,
 ) -> Vec<Box<dyn EndpointSource>> {
-    // With endpoints from a file, only purges are taken from the discovery service.
-    let scope = if xds_file.is_some() { WatchScope::PurgesOnly } else { WatchScope::MembersAndPurges };
     let mut sources: Vec<Box<dyn EndpointSource>> = Vec::new();
     if let Some(path) = xds_file {
         sources.push(Box::new(XdsFile::new(path)));
@@ -107,9 +111,10 @@
     clock: Clock,
     config: &PlatformConfig,
     events: mpsc::Receiver<WatchEvent>,
+    scope: WatchScope,
 ) -> Result<ClusterHandle, DaemonError> {
-    let opened = cluster::open(section, dispatcher.sender(), clock, &config.initial_events, events).await;
-    let (handle, actor) = opened?;
+    let (dispatcher, initial) = (dispatcher.sender(), &config.initial_events);
+    let (handle, actor) = cluster::open(section, dispatcher, clock, initial, events, scope).await?;
     tokio::task::spawn_local(actor.run());
     Ok(handle)
 }
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -214,7 +214,7 @@
         }
         let revision = event.revision;
         self.event_skipped = false;
-        if let Some(subscriber) = &self.subscriber {
+        if let Some(subscriber) = self.subscriber.as_ref().filter(|_| event.is_in(self.scope)) {
             let _ = subscriber.try_send(event.clone()); // queue full: other directors pass the event on
         }
         if let Some(message) = event.into_message(self.scope) {
--- a/src/discovery/event.rs
+++ b/src/discovery/event.rs
@@ -36,7 +36,7 @@
     Unknown,
 }
 
-/// The events that are sent to the dispatcher.
+/// The events of the discovery service that the director uses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WatchScope {
     /// Member changes and purges.
@@ -46,7 +46,7 @@
     PurgesOnly,
 }
 
-/// An additional receiver of all events. If its queue is full, the event is dropped: the client never waits
+/// An additional receiver of the events in scope. If its queue is full, the event is dropped: the client never waits
 /// for the receiver.
 pub type Subscriber = Option<mpsc::Sender<WatchEvent>>;
 
@@ -56,11 +56,18 @@
         matches!(self.change, WatchChange::Members { complete: true, .. })
     }
 
+    /// Returns whether the director uses this event.
+    pub fn is_in(&self, scope: WatchScope) -> bool {
+        scope == WatchScope::MembersAndPurges || !matches!(self.change, WatchChange::Members { .. })
+    }
+
     /// Returns the dispatcher message for this event, or `None` if the scope excludes the event or its kind
     /// is unknown.
     pub fn into_message(self, scope: WatchScope) -> Option<DispatcherMessage> {
+        if !self.is_in(scope) {
+            return None;
+        }
         match self.change {
-            WatchChange::Members { .. } if scope == WatchScope::PurgesOnly => None,
             WatchChange::Members { complete, members } => {
                 Some(DispatcherMessage::Members { full: complete, members })
             }
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -73,9 +73,9 @@
     pub revision: u64,
     /// Events known before the first connection. The dispatcher gets them before the director starts.
     pub initial_events: Vec<WatchEvent>,
-    /// Selects the events that are sent to the dispatcher.
+    /// Selects the events that the director uses.
     pub scope: WatchScope,
-    /// Additional receiver, to which all events are sent; `scope` does not apply to it.
+    /// Additional receiver of the events that `scope` selects.
     pub subscriber: Subscriber,
 }
 
