Apply a purge by the object's name in links, also where that is forwarded encoded

Cause: requests have "," and "=" as "%2C" and "%3D", since these separate the fields of the line protocol. The policy knows an object by a hash of its name, and that of a purge was taken of the name as given.

Change: the dispatcher brings a purge's name into the forwarded form first, by the function that the parser of links uses. All purges pass there: those of operators, of other directors, of the discovery service and of hosts.

Evidence: a_purge_by_the_name_in_the_link_or_as_forwarded_applies_to_the_object failed before for the name in the link. Why it works: both sides hash the same text, and encoding a second time changes nothing.

--- a/src/dispatch/actor/mod.rs
+++ b/src/dispatch/actor/mod.rs
@@ -18,8 +18,8 @@
 use super::purge_records::{PurgeRecord, PurgeRecords, PurgeTarget};
 use super::timers::{Timer, TimerQueue};
 use crate::dispatch::{
-    object_number, AttemptError, AttemptId, Clock, Dispatcher, DispatcherMessage, DispatcherMetrics,
-    DispatcherSender, EndpointCommand, EndpointConnector, HealthReport, TableSizes,
+    forwarded_object_name, object_number, AttemptError, AttemptId, Clock, Dispatcher, DispatcherMessage,
+    DispatcherMetrics, DispatcherSender, EndpointCommand, EndpointConnector, HealthReport, TableSizes,
 };
 use crate::policy::types::{
     Action, Event, MemberUpdate, Micros, ObjectId, Outcome, ServerId, Settings, SettingsError,
@@ -244,7 +244,8 @@
     fn record_purge(&mut self, object: Option<Arc<str>>, group: u32, at: Micros, retention: Micros) {
         let unix = self.clock.unix();
         let age = unix.saturating_sub(at);
-        let object = object.map(|name| ObjectId(object_number(&name)));
+        // Requests have the name as it is forwarded; a purge may have it as it is in links.
+        let object = object.map(|name| ObjectId(object_number(&forwarded_object_name(&name))));
         if retention > 0 {
             let target = object.map_or(PurgeTarget::Group(group), PurgeTarget::Object);
             let purge = PurgeRecord { purged_at: at, in_force_until: at.saturating_add(retention) };
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -51,5 +51,6 @@
 pub use metrics::{ClassCounts, DispatcherMetrics, TableSizes};
 pub use naming::{object_number, server_number};
 pub use request::{
-    bare_tag, is_name, ClientRequest, ClientResponse, FailureReason, Representation, MAX_WRITE_BYTES,
+    bare_tag, forwarded_object_name, is_name, ClientRequest, ClientResponse, FailureReason, Representation,
+    MAX_WRITE_BYTES,
 };
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -113,6 +113,12 @@
     !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
 }
 
+/// Returns an object's name in the form in which it is forwarded to servers: the characters that separate fields
+/// there are percent-encoded. A name in that form stays as it is.
+pub fn forwarded_object_name(name: &str) -> String {
+    name.replace(',', "%2C").replace('=', "%3D")
+}
+
 /// Returns an ETag without its quotes and without the prefix of a weak ETag.
 pub fn bare_tag(tag: &str) -> &str {
     let tag = tag.strip_prefix("W/").unwrap_or(tag);
--- a/src/signed/request.rs
+++ b/src/signed/request.rs
@@ -1,7 +1,7 @@
 //! Parses the target of a request with a valid credential: `/CLASS/OBJECT?block=PART&family=GROUP`.
 
 use super::Grant;
-use crate::dispatch::request::{is_name, ClientRequest};
+use crate::dispatch::request::{forwarded_object_name, is_name, ClientRequest};
 use crate::policy::types::{RequestRules, Settings};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -65,8 +65,7 @@
     if path.split('/').any(|segment| matches!(segment, "" | "." | "..")) {
         return Err(InvalidRequest::BAD_REQUEST);
     }
-    // The line protocol uses these characters as separators.
-    let object = path.replace(',', "%2C").replace('=', "%3D");
+    let object = forwarded_object_name(path);
     if !is_name(&object) {
         return Err(InvalidRequest::BAD_REQUEST);
     }
--- a/tests/dispatch/purges.rs
+++ b/tests/dispatch/purges.rs
@@ -3,6 +3,7 @@
 use crate::emulated::run_with_paused_clock;
 use crate::fixture::*;
 use foxhold::dispatch::*;
+use foxhold::signed::{self, Grant};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -76,3 +77,34 @@
         }
     });
 }
+
+/// Guards against a purge that is accepted and never applied: the object's name in a link has separators of the
+/// line protocol, which requests have in encoded form.
+#[test]
+fn a_purge_by_the_name_in_the_link_or_as_forwarded_applies_to_the_object() {
+    const FORWARDED: &str = "2026/walkthrough%2Cpart%3D1.mp4";
+    for name in ["2026/walkthrough,part=1.mp4", FORWARDED] {
+        run_with_paused_clock(async {
+            let site = site();
+            let parse = || {
+                let grant = Grant { target: "/videos/2026/walkthrough,part=1.mp4".into(), expires_at: None };
+                let (settings, id) = (site.dispatcher.settings(), site.dispatcher.generate_request_id());
+                signed::parse_request(settings, "GET", &grant, id, None, Default::default())
+            };
+            for is_purged in [false, true] {
+                if is_purged {
+                    let (object, at) = (Some(name.into()), site.clock.unix() - 250_000);
+                    let purge = DispatcherMessage::Purged { object, group: 0, at, retention: 0 };
+                    site.dispatcher.sender().send(purge).await;
+                }
+                let pending = site.dispatcher.submit(parse().expect("a valid target"));
+                run_until_idle().await;
+                let attempt = site.connector.attempts().pop().expect("an attempt").1;
+                assert_eq!(&*attempt.object, FORWARDED);
+                assert_eq!(attempt.max_age_ms > 0, is_purged, "{name}");
+                end_attempt(&site, attempt.attempt_id, served()).await;
+                assert!(matches!(pending.await, ClientResponse::Served(_)));
+            }
+        });
+    }
+}
