--- a/src/cluster/actor.rs
+++ b/src/cluster/actor.rs
@@ -162,8 +162,9 @@
     fn apply_watch_event(&mut self, event: &WatchEvent) {
         let now = self.now();
         for (key, entry) in source::apply(&mut self.replication.state, event, now) {
-            // The dispatcher receives the event from the source itself as well. A purge is sent to it again with
-            // the retention that applies in the cluster, and a server because its replicated entry has changed.
+            // The dispatcher receives the event from the source itself as well. A purge is sent to it again
+            // with the retention that applies in the cluster, and a server because its replicated entry has
+            // changed.
             self.accept(Update { key: key.clone(), value: entry.clone() });
             self.replication.publish(Some((key, entry)));
         }
--- a/src/cluster/drain_feed.rs
+++ b/src/cluster/drain_feed.rs
@@ -100,8 +100,8 @@
     }
 
     /// Returns the drain command that applies to the process listed under a server's name. A drain of an
-    /// earlier process counts as an undrain. Returns `None` if there is no command, the server is gone, or its
-    /// endpoint is not known yet.
+    /// earlier process counts as an undrain. Returns `None` if there is no command, the server is gone, or
+    /// its endpoint is not known yet.
     fn drain_in_force(&self, state: &ReplicatedState, server: &str) -> Option<DrainCommand> {
         let Some(Value::Drain(drain)) = state.get(&Key::Drain(server.into())) else { return None };
         if self.scope == WatchScope::PurgesOnly {
@@ -112,8 +112,8 @@
             Some(Value::Endpoint(_, record)) if record.started_at > drain.started_at => {
                 Some(DrainCommand::Undrain)
             }
-            // The command is sent once the server is listed. If no endpoint list is replicated, the dispatcher
-            // has the server from its own source.
+            // The command is sent once the server is listed. If no endpoint list is replicated, the
+            // dispatcher has the server from its own source.
             None if state.count(Kind::Members) > 0 => None,
             _ => Some(drain.command()),
         }
--- a/src/cluster/startup.rs
+++ b/src/cluster/startup.rs
@@ -62,8 +62,8 @@
 /// Reads the keys, opens the socket and the stored state, and returns the actor with a handle to it.
 ///
 /// `initial_events` are the watch events that the configuration contains; `watch_events` delivers the later
-/// ones of the discovery source. Of both, the director uses those that `scope` selects. Without member changes
-/// among them its list comes from elsewhere, and the replicated list is not applied.
+/// ones of the discovery source. Of both, the director uses those that `scope` selects. Without member
+/// changes among them its list comes from elsewhere, and the replicated list is not applied.
 pub async fn open(
     section: PeersSection,
     dispatcher: DispatcherSender,
@@ -134,8 +134,9 @@
 /// Merges the stored entries into the state. If they are older than the retention time of tombstones, the
 /// endpoint list is dropped, as peers may have removed endpoints and forgotten the tombstones since.
 ///
-/// The stored endpoint list is also left out if the events at the start hold a complete one. That is the later
-/// one, but would lose the merge: events are numbered anew at each start, and stored revisions may be higher.
+/// The stored endpoint list is also left out if the events at the start hold a complete one. That is the
+/// later one, but would lose the merge: each start begins a new numbering, and stored revisions may be
+/// higher.
 fn restore(
     stored: &StoredState,
     state: &mut ReplicatedState,
--- a/src/discovery/event.rs
+++ b/src/discovery/event.rs
@@ -46,8 +46,8 @@
     PurgesOnly,
 }
 
-/// An additional receiver of the events in scope. If its queue is full, the event is dropped: the client never waits
-/// for the receiver.
+/// An additional receiver of the events in scope. If its queue is full, the event is dropped: the client
+/// never waits for the receiver.
 pub type Subscriber = Option<mpsc::Sender<WatchEvent>>;
 
 impl WatchEvent {
--- a/src/dispatch/actor/members.rs
+++ b/src/dispatch/actor/members.rs
@@ -27,8 +27,8 @@
         }
     }
 
-    /// Applies listings that are in force. Attempts sent to a process that has been replaced end with a reset,
-    /// because that process will not respond any more.
+    /// Applies listings that are in force. Attempts sent to a process that has been replaced end with a
+    /// reset, because that process will not respond any more.
     fn apply_listings(&mut self, kind: MemberUpdate, listings: Vec<Endpoint>) {
         let update = self.endpoints.apply_update(kind, listings, &self.settings);
         self.events.push_back(Event::Members { kind, members: update.members });
--- a/src/dispatch/counters.rs
+++ b/src/dispatch/counters.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The counters.
+/// Counts of ended requests per class, and of attempts.
 #[derive(Debug, Default)]
 pub(super) struct Counters {
     by_class: BTreeMap<Arc<str>, ClassCounts>,
--- a/src/dispatch/endpoint_sources.rs
+++ b/src/dispatch/endpoint_sources.rs
@@ -1,10 +1,11 @@
-//! What the sources of endpoint lists report of each server, and which report is in force. Types without clock
-//! or I/O.
+//! What the sources of endpoint lists report of each server, and which report is in force. Types without
+//! clock or I/O.
 //!
-//! A director has a list of its own, and may hear of endpoints from other directors. The events of both are
-//! numbered, but not always by the same numbering, and one list may be behind the other. So the reports are
-//! compared by what they say: that of the later process is in force and, for one process, the report that
-//! excludes it further. A drain or an end that any source has reported is not undone by an older report.
+//! A director has a list of its own, and may receive that of other directors by gossip. The events of both
+//! are numbered, but not always by the same numbering, and one list may be behind the other. Therefore
+//! reports are compared by their content: that of the later process is in force and, for one process, the
+//! report that excludes it further. A drain or an end that any source has reported is not undone by an older
+//! report.
 
 use crate::dispatch::membership::Endpoint;
 use crate::policy::types::{MemberState, MemberUpdate};
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -41,8 +41,9 @@
         /// The endpoints that are listed or changed.
         members: Vec<Endpoint>,
     },
-    /// A server's entry in the state that directors replicate has changed. Where it contradicts the director's
-    /// own list, the report on the later process is in force, or else the one that excludes the server further.
+    /// A server's entry in the state that directors replicate has changed. Where it contradicts the
+    /// director's own list, the report on the later process is in force, or else the one that excludes the
+    /// server further.
     ReplicatedMember(Box<Endpoint>),
     /// An attempt has been completely written.
     AttemptWritten(AttemptId),
@@ -59,9 +60,9 @@
     },
     /// New settings, for requests to come.
     Settings {
-        /// The settings.
+        /// They replace the settings in force.
         settings: Box<Settings>,
-        /// Told once the settings are in force.
+        /// Receives a message once the new settings are in force.
         in_force: oneshot::Sender<()>,
     },
     /// Requests the metrics.
--- a/src/dispatch/published_settings.rs
+++ b/src/dispatch/published_settings.rs
@@ -18,7 +18,7 @@
         SettingsVersions { current: Arc::new(settings), earlier: Vec::new() }
     }
 
-    /// Replaces the settings in force, and forgets earlier ones that are no longer in use.
+    /// Replaces the settings in force, and removes earlier ones that are no longer in use.
     fn replace(&mut self, settings: Settings) {
         self.earlier.retain(|settings| settings.strong_count() > 0);
         let replaced = std::mem::replace(&mut self.current, Arc::new(settings));
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -113,8 +113,8 @@
     !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
 }
 
-/// Returns an object's name in the form in which it is forwarded to servers: the characters that separate fields
-/// there are percent-encoded. A name in that form stays as it is.
+/// Returns an object's name in the form in which it is forwarded to servers: the characters that separate
+/// fields there are percent-encoded. A name in that form stays as it is.
 pub fn forwarded_object_name(name: &str) -> String {
     name.replace(',', "%2C").replace('=', "%3D")
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -80,7 +80,7 @@
 
 impl PendingRequest {
     /// Returns whether the request's settings allow a further attempt after those sent.
-    pub(super) fn may_attempt_again(&self) -> bool {
+    pub(super) fn allows_another_attempt(&self) -> bool {
         let max_attempts = self.rules.settings().max_attempts as usize;
         max_attempts == 0 || self.attempts.len() < max_attempts
     }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -57,7 +57,7 @@
     if !pending.rules.settings().hedging && pending.has_attempt_in_flight() {
         return false;
     }
-    if !pending.may_attempt_again() {
+    if !pending.allows_another_attempt() {
         return false;
     }
     let mut may_have_run = pending.attempts.iter().filter(|attempt| attempt.may_have_run);
--- a/src/policy/service_times.rs
+++ b/src/policy/service_times.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct EstimateId(u64);
 
-/// The estimate of one class.
+/// A service time, and the class that it was observed for.
 struct ClassEstimate {
     class_name: String,
     service_time: ServiceTime,
--- a/tests/dispatch/endpoint_sources.rs
+++ b/tests/dispatch/endpoint_sources.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// Guards against a server that a full list has removed and an older replicated entry brings back, and against
-/// records of servers that nobody lists.
+/// Guards against a server that a full list has removed and an older replicated entry brings back, and
+/// against records of servers that no source lists.
 #[test]
 fn a_full_list_ends_the_servers_that_it_lacks() {
     run_with_paused_clock(async {
--- a/tests/dispatch/purges.rs
+++ b/tests/dispatch/purges.rs
@@ -78,8 +78,8 @@
     });
 }
 
-/// Guards against a purge that is accepted and never applied: the object's name in a link has separators of the
-/// line protocol, which requests have in encoded form.
+/// Guards against a purge that is accepted and never applied: the object's name in a link has separators of
+/// the line protocol, which requests have in encoded form.
 #[test]
 fn a_purge_by_the_name_in_the_link_or_as_forwarded_applies_to_the_object() {
     const FORWARDED: &str = "2026/walkthrough%2Cpart%3D1.mp4";
--- a/tests/emulated/mod.rs
+++ b/tests/emulated/mod.rs
@@ -291,6 +291,16 @@
     Response { status, head, body: bytes[end + 4..].to_vec() }
 }
 
+/// Runs a test on a runtime of two threads.
+pub fn run_on_two_threads<T>(test: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(test)
+}
+
 /// Runs a test's body in a `LocalSet`, which the director's tasks need.
 pub fn run_local<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
--- a/tests/library.rs
+++ b/tests/library.rs
@@ -10,7 +10,7 @@
 #[path = "library/fixture.rs"]
 mod fixture;
 
-use emulated::settings;
+use emulated::{run_on_two_threads, settings};
 use fixture::*;
 use foxhold::director::{CacheRequest, Director, SendError, Stopped};
 use foxhold::discovery::StaticEndpoints;
--- a/tests/library/cancellation.rs
+++ b/tests/library/cancellation.rs
@@ -1,6 +1,8 @@
 //! Requests that the host cancels by dropping their futures.
 
-use crate::emulated::{self, run_local, settings, upstream_request, EmulatedServer, ServerBehavior};
+use crate::emulated::{
+    self, run_local, run_on_two_threads, settings, upstream_request, EmulatedServer, ServerBehavior,
+};
 use crate::fixture::*;
 use foxhold::director::{CacheRequest, Director};
 use foxhold::discovery::StaticEndpoints;
--- a/tests/library/drains.rs
+++ b/tests/library/drains.rs
@@ -1,6 +1,6 @@
 //! Drains through the director's handle, and a host that blocks its runtime.
 
-use crate::emulated::run_local;
+use crate::emulated::{run_local, run_on_two_threads};
 use crate::fixture::*;
 use foxhold::director::{CacheRequest, Director, SendError};
 use foxhold::dispatch::*;
--- a/tests/library/fixture.rs
+++ b/tests/library/fixture.rs
@@ -115,13 +115,3 @@
 pub fn filing_request(object: &str) -> CacheRequest {
     CacheRequest::new("filing", object).body("a filing")
 }
-
-/// Runs a test on a runtime of two threads.
-pub fn run_on_two_threads<T>(test: impl std::future::Future<Output = T>) -> T {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(test)
-}
--- a/tests/program/mod.rs
+++ b/tests/program/mod.rs
@@ -48,6 +48,64 @@
     log: Arc<Mutex<String>>,
 }
 
+/// The files of a process that gossips: its configuration, its key, and its operator's file.
+pub struct GossipFiles {
+    pub config: TempFile,
+    operator: TempFile,
+    _key: TempFile,
+}
+
+impl GossipFiles {
+    /// Creates the files of a process that gossips at this address. `peers` are further keys of the section
+    /// `peers`, `sections` further sections of the operator's file.
+    pub fn new(address: &str, config: &str, peers: &str, sections: &str) -> GossipFiles {
+        // Tests run beside each other, and their files are distinguished by the port.
+        let port = address.rsplit(':').next().unwrap_or_default();
+        let file = |kind: &str, text: &str| TempFile::new(&format!("gossip-{port}-{kind}"), text);
+        let key = file("key", "c2VjcmV0c2VjcmV0c2VjcmV0\n");
+        let key_file = key.0.display();
+        let section = format!(
+            "peers: {{listen: \"{address}\", name: \"d{port}\", fleet: example, key: {key_file}{peers}}}\n"
+        );
+        let operator = file("operator", &format!("{section}{sections}"));
+        GossipFiles { config: file("config", config), operator, _key: key }
+    }
+
+    /// Starts a process with these files.
+    pub fn start(&self) -> Program {
+        let options = StartOptions {
+            config: Some(&self.config.0),
+            operator: Some(&self.operator.0),
+            // The first line of the log has to name the address for clients.
+            log_level: Some("info,foxhold::cluster=warn"),
+            ..StartOptions::default()
+        };
+        options.start()
+    }
+}
+
+/// Returns addresses on loopback for gossip, no two the same. The system could assign one to another test,
+/// which is unlikely.
+pub fn free_gossip_addresses<const N: usize>() -> [String; N] {
+    let bind = || std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let sockets: [std::net::UdpSocket; N] = std::array::from_fn(|_| bind());
+    sockets.each_ref().map(|socket| socket.local_addr().expect("a bound address").to_string())
+}
+
+/// Waits until a process lists this number of endpoints and excludes this number of them; fails after 10 s.
+pub async fn wait_for_endpoints(admin: &str, known: usize, excluded: usize) {
+    let expected = format!("\"caches_known\":{known},\"caches_excluded\":{excluded}");
+    let mut metrics = String::new();
+    for _ in 0..500 {
+        metrics = send_command(admin, "vars\n").await.unwrap_or_default();
+        if metrics.contains(&expected) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("expected {expected} in {metrics}");
+}
+
 /// The options with which a child process is started.
 #[derive(Default)]
 pub struct StartOptions<'a> {
--- a/tests/reload_classes.rs
+++ b/tests/reload_classes.rs
@@ -7,7 +7,7 @@
 #[path = "reload_classes/fixture.rs"]
 mod fixture;
 
-use emulated::settings;
+use emulated::{run_on_two_threads, settings};
 use fixture::*;
 use foxhold::director::{CacheRequest, SendError};
 use foxhold::dispatch::ClientResponse;
--- a/tests/reload_classes/fixture.rs
+++ b/tests/reload_classes/fixture.rs
@@ -160,13 +160,3 @@
         self.received.poll_recv(cx).map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
     }
 }
-
-/// Runs a test on a runtime of two threads.
-pub fn run_on_two_threads<T>(test: impl std::future::Future<Output = T>) -> T {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(test)
-}
