End a server that only gossip lists where the own list reports its end

Cause: since the two sources are kept apart, an end in the own list that does not name the process (no up_since_ms) counted as that of an unknown, earlier one where the own list had never had the server, so that the replicated entry prevailed.

Change: such an end is that of the process which the own list reported last, or else the replicated state.

Evidence: an_end_in_the_own_list_applies_to_a_server_that_only_the_replicated_state_lists failed before.

--- a/src/dispatch/endpoint_sources.rs
+++ b/src/dispatch/endpoint_sources.rs
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Records that the own list has the server no more. A report of an end need not name the process; it is
-    /// the one that was listed last.
+    /// Records that the own list no longer has the server, without naming the process. It is the one that the
+    /// own list reported last or, if that never had the server, the replicated state.
     fn end_own(&mut self) {
         let last = self.own.as_ref().or(self.replicated.as_ref());
         self.own = last.map(|last| Endpoint { state: MemberState::Gone, ..last.clone() });
@@ -97,11 +97,10 @@
         }
         for listing in listings {
             let reports = self.0.entry(listing.name.clone()).or_default();
-            let names_process = listing.state != MemberState::Gone || listing.started_at > 0;
-            if names_process || reports.own.is_none() {
-                reports.own = Some(listing);
-            } else {
+            if listing.state == MemberState::Gone && listing.started_at == 0 {
                 reports.end_own();
+            } else {
+                reports.own = Some(listing);
             }
         }
         self.take_in_force(names)
--- a/tests/dispatch/endpoint_sources.rs
+++ b/tests/dispatch/endpoint_sources.rs
@@ -107,6 +107,20 @@
     }
 }
 
+/// Guards against an end in the own list that is ignored, because it does not name the process and the server
+/// is known from the replicated state only.
+#[test]
+fn an_end_in_the_own_list_applies_to_a_server_that_only_the_replicated_state_lists() {
+    run_with_paused_clock(async {
+        let site = site();
+        send(&site, Report::OwnFullList(other_servers())).await;
+        send(&site, Report::Replicated(cache(MemberState::Running, 5))).await;
+        assert!(is_used(&site).await);
+        send(&site, Report::Own(cache(MemberState::Gone, 0))).await;
+        assert!(!is_used(&site).await);
+    });
+}
+
 /// Guards against a server that a full list has removed and an older replicated entry brings back, and
 /// against records of servers that no source lists.
 #[test]
