Remove stored entries from disk that a start leaves out

Cause: since the stored endpoint list is left out where the start has a complete one, endpoints that are no longer listed stayed in the file, and more of them with each restart. The same held for a list older than the horizon.

Change: where the state holds fewer entries than the file, the first write is that of all entries, which removes the rest. It is the write that follows a failed one.

Evidence: endpoints_that_the_start_does_not_list_are_removed_from_disk failed before, with the cache of the run before still on disk.

--- a/src/cluster/persistence.rs
+++ b/src/cluster/persistence.rs
@@ -51,12 +51,12 @@
         }
     }
 
-    /// Returns whether entries are missing from the store after a failed write.
+    /// Returns whether the store needs all entries.
     fn is_incomplete(&self) -> bool {
         self.store.as_ref().is_some_and(|store| store.status.incomplete.load(Ordering::Relaxed))
     }
 
-    /// Passes the changed entries to the writer, or all entries after a failed write.
+    /// Passes the changed entries to the writer, or all entries if it needs them.
     pub(super) fn write(&mut self, state: &ReplicatedState, now: Instant, unix: Micros) {
         let scope = if self.is_incomplete() { BatchScope::AllEntries } else { BatchScope::Changes };
         let Some(store) = &self.store else { return };
--- a/src/cluster/startup.rs
+++ b/src/cluster/startup.rs
@@ -18,6 +18,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -128,6 +129,10 @@
         );
     }
     restore(&stored, state, initial_events, now);
+    if state.len() < stored.entries.len() {
+        // Entries that were left out must leave the disk too, which writing all others does.
+        store.status.incomplete.store(true, Ordering::Relaxed);
+    }
     Ok((Some(store), stored.incarnation))
 }
 
--- a/src/cluster/store/writer.rs
+++ b/src/cluster/store/writer.rs
@@ -26,7 +26,8 @@
     pub written: AtomicU64,
     /// Number of batches that could not be written.
     pub failed: AtomicU64,
-    /// Whether entries are missing from the file after a failed write, so that all entries must be written.
+    /// Whether the file differs from the state by more than the changes since the last write, after a failed
+    /// write or because entries were left out at the start, so that all entries must be written.
     pub incomplete: AtomicBool,
 }
 
--- a/tests/stored_endpoints.rs
+++ b/tests/stored_endpoints.rs
@@ -5,6 +5,8 @@
 mod program;
 
 use emulated::{run_local, send_request_text, start_cache_parent_origin, EmulatedServer, ServerBehavior};
+use foxhold::cluster::store;
+use foxhold::replication::entry::{Key, Value};
 use program::{example_config, free_gossip_addresses, read_request, GossipFiles, Program};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -62,10 +64,25 @@
         let events: String = (2..2 + repeats).map(event).collect();
         let known = listed.replacen(END_OF_EVENTS, &format!("]}}}}{events}]}},"), 1);
         let last = format!("\"known\": {{\"rev\": {}", 1 + repeats);
-        self.files.config.replace(&known.replace("\"known\": {\"rev\": 1", &last));
+        self.start_with(&known.replace("\"known\": {\"rev\": 1", &last))
+    }
+
+    /// Starts a director with this configuration.
+    fn start_with(&self, config: &str) -> Program {
+        self.files.config.replace(config);
         self.files.start()
     }
 
+    /// Returns the names of the endpoints on disk. No director may be running.
+    fn stored_endpoints(&self) -> Vec<String> {
+        let (_store, stored) = store::open(&self.folder, 0).expect("a readable state");
+        let name = |(key, _): &(Key, Value)| match key {
+            Key::Endpoint(name) => Some(name.clone()),
+            _ => None,
+        };
+        stored.entries.iter().filter_map(name).collect()
+    }
+
     /// Sends requests and returns how many of them the cache has received.
     async fn requests_at_cache(&self, program: &Program) -> usize {
         let before = self.cache().requests().len();
@@ -107,3 +124,24 @@
         }
     });
 }
+
+/// Guards against a state on disk that grows with every restart: a stored endpoint that the list at the start
+/// leaves out has to leave the disk as well.
+#[test]
+fn endpoints_that_the_start_does_not_list_are_removed_from_disk() {
+    run_local(async {
+        let director = StoredDirector::new().await;
+        let first = director.start("in_service", 0, 0);
+        let text = std::fs::read_to_string(&director.files.config.0).expect("a configuration");
+        sleep(WRITE_TIME).await;
+        drop(first);
+        for name in ["second-cache", "third-cache"] {
+            let running = director.start_with(&text.replace("example-cache", name));
+            sleep(WRITE_TIME).await;
+            drop(running);
+            let mut stored = director.stored_endpoints();
+            stored.sort();
+            assert_eq!(stored, ["example-origin", "example-parent", name]);
+        }
+    });
+}
