Remove only the servers concerned from the sources, and keep the settings' versions once

Need: each report of one server looked through the reports of all; PublishedSettings kept the versions beside the channel and copied them at each reload; an own report was cloned where it was not used. Change: no behaviour.

--- a/src/dispatch/endpoint_sources.rs
+++ b/src/dispatch/endpoint_sources.rs
@@ -42,10 +42,10 @@
     /// properties; the process is the one that was replicated last.
     fn replace_replicated(&mut self, listing: Endpoint) {
         let started_at = self.replicated.as_ref().map_or(listing.started_at, |last| last.started_at);
-        let last = self.replicated.take().or_else(|| self.own.clone());
+        let last = self.replicated.as_ref().or(self.own.as_ref());
         self.replicated = Some(match last {
             Some(last) if listing.state == MemberState::Gone => {
-                Endpoint { state: MemberState::Gone, started_at, ..last }
+                Endpoint { state: MemberState::Gone, started_at, ..last.clone() }
             }
             _ => listing,
         });
@@ -103,7 +103,7 @@
                 reports.own = Some(listing);
             }
         }
-        self.take_in_force(names)
+        self.take_in_force(&names)
     }
 
     /// Records a report of the replicated state, and returns the report that is in force for the server.
@@ -111,7 +111,7 @@
         let name = listing.name.clone();
         let reports = self.0.entry(name.clone()).or_default();
         reports.replace_replicated(listing);
-        self.take_in_force(vec![name]).pop()
+        self.take_in_force(&[name]).pop()
     }
 
     /// Returns the report that is in force for a server, or `None` if no source lists it.
@@ -124,9 +124,14 @@
         self.0.len()
     }
 
-    fn take_in_force(&mut self, names: Vec<Arc<str>>) -> Vec<Endpoint> {
+    /// Returns the reports in force for these servers, and removes those that no source lists any more.
+    fn take_in_force(&mut self, names: &[Arc<str>]) -> Vec<Endpoint> {
         let in_force = names.iter().filter_map(|name| self.in_force(name)).collect();
-        self.0.retain(|_, reports| !reports.is_obsolete());
+        for name in names {
+            if self.0.get(name).is_some_and(Reports::is_obsolete) {
+                self.0.remove(name);
+            }
+        }
         in_force
     }
 }
--- a/src/dispatch/published_settings.rs
+++ b/src/dispatch/published_settings.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 /// The settings in force, and the earlier ones that are in use by requests that began under them.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct SettingsVersions {
     pub(super) current: Arc<Settings>,
     /// Weak, so that settings exist only as long as a request uses them.
@@ -14,14 +14,10 @@
 }
 
 impl SettingsVersions {
-    fn new(settings: Settings) -> Self {
-        SettingsVersions { current: Arc::new(settings), earlier: Vec::new() }
-    }
-
     /// Replaces the settings in force, and removes earlier ones that are no longer in use.
-    fn replace(&mut self, settings: Settings) {
+    fn replace(&mut self, settings: Arc<Settings>) {
         self.earlier.retain(|settings| settings.strong_count() > 0);
-        let replaced = std::mem::replace(&mut self.current, Arc::new(settings));
+        let replaced = std::mem::replace(&mut self.current, settings);
         self.earlier.push(Arc::downgrade(&replaced));
     }
 
@@ -36,27 +32,28 @@
 /// replaced.
 #[derive(Debug)]
 pub(super) struct PublishedSettings {
-    versions: SettingsVersions,
+    current: Arc<Settings>,
     publisher: watch::Sender<SettingsVersions>,
 }
 
 impl PublishedSettings {
     /// Publishes the first settings. Returns them and the receiver for the handles.
     pub(super) fn new(settings: Settings) -> (Self, watch::Receiver<SettingsVersions>) {
-        let versions = SettingsVersions::new(settings);
-        let (publisher, receiver) = watch::channel(versions.clone());
-        (PublishedSettings { versions, publisher }, receiver)
+        let versions = SettingsVersions { current: Arc::new(settings), earlier: Vec::new() };
+        let current = versions.current.clone();
+        let (publisher, receiver) = watch::channel(versions);
+        (PublishedSettings { current, publisher }, receiver)
     }
 
     /// Replaces the settings and publishes the new ones to the handles.
     pub(super) fn replace(&mut self, settings: Settings) {
-        self.versions.replace(settings);
-        self.publisher.send_replace(self.versions.clone());
+        self.current = Arc::new(settings);
+        self.publisher.send_modify(|versions| versions.replace(self.current.clone()));
     }
 
     /// Returns the settings in force and earlier ones in use.
     pub(super) fn in_use(&self) -> Vec<Arc<Settings>> {
-        self.versions.in_use()
+        self.publisher.borrow().in_use()
     }
 }
 
@@ -64,6 +61,6 @@
     type Target = Settings;
 
     fn deref(&self) -> &Settings {
-        &self.versions.current
+        &self.current
     }
 }
--- a/src/frontend/serve/mod.rs
+++ b/src/frontend/serve/mod.rs
@@ -46,8 +46,7 @@
     }
 
     /// Converts a response of the dispatcher to an HTTP response, by the settings that apply to its request.
-    /// This is the only place where the frontend
-    /// assigns HTTP statuses to the dispatcher's outcomes.
+    /// This is the only place where the frontend assigns HTTP statuses to the dispatcher's outcomes.
     fn to_response(&self, answer: ClientResponse, settings: &Settings) -> Response;
 }
 
