Let the tests of reloads use the recording transport of the library's tests

Need: tests/reload_classes had a transport, a list and a director of its own beside those of tests/library/fixture.rs. Change: RecordedAttempt has the class as well; the assertions are as they were.

--- a/tests/library/fixture.rs
+++ b/tests/library/fixture.rs
@@ -1,4 +1,5 @@
 //! A director with a host transport that records the attempts it is given.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use crate::emulated::{endpoint_listing, settings};
 use foxhold::director::{CacheRequest, Director};
@@ -16,6 +17,7 @@
 /// An attempt that the transport was given, with the time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordedAttempt {
+    pub class: String,
     pub server: String,
     pub fill_source: Option<String>,
     pub at: Instant,
@@ -44,7 +46,8 @@
 impl Exchange for RecordingTransport {
     fn exchange(&self, server: &Endpoint, request: UpstreamRequest) -> BoxFuture<AttemptResult> {
         let fill_source = request.fill_source.as_ref().map(|source| source.to_string());
-        let attempt = RecordedAttempt { server: server.name.to_string(), fill_source, at: Instant::now() };
+        let (class, server_name) = (request.class.to_string(), server.name.to_string());
+        let attempt = RecordedAttempt { class, server: server_name, fill_source, at: Instant::now() };
         self.exchanges.lock().expect("a list").push(attempt);
         self.behavior.lock().expect("a behavior")(server, &request)
     }
--- a/tests/reload_classes.rs
+++ b/tests/reload_classes.rs
@@ -6,6 +6,8 @@
 
 #[path = "reload_classes/fixture.rs"]
 mod fixture;
+#[path = "library/fixture.rs"]
+mod library;
 
 use emulated::{run_on_two_threads, settings};
 use fixture::*;
--- a/tests/reload_classes/fixture.rs
+++ b/tests/reload_classes/fixture.rs
@@ -1,52 +1,26 @@
 //! A host application with the director as a library, whose transport records the class of each attempt.
 
-use crate::emulated::{endpoint_listing, settings};
+use crate::emulated::settings;
+use crate::library::{served, start_director, RecordingTransport};
 use bytes::Bytes;
 use foxhold::director::{CacheRequest, Director};
-use foxhold::discovery::StaticEndpoints;
-use foxhold::dispatch::*;
+use foxhold::dispatch::DispatcherMessage;
 use foxhold::middleware::DirectorService;
 use foxhold::policy::types::*;
 use foxhold::signed::OutcomeCounters;
-use foxhold::upstream::host::{BoxFuture, Exchange, HostTransport};
 use http::{Request, StatusCode};
 use http_body::Frame;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::{mpsc as std_mpsc, Arc, Mutex};
 use std::task::{Context, Poll};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::JoinHandle;
 use tower::ServiceExt;
 
 /// Object whose attempt blocks the director's thread until the sender of [`Host::block_director`] is dropped.
 const BLOCKING_OBJECT: &str = "blocking";
 
-/// Serves every attempt at once, and records the class and the server of each.
-#[derive(Clone, Default)]
-struct RecordingTransport {
-    forwarded: Arc<Mutex<Vec<(String, String)>>>,
-    block: Arc<Mutex<Option<std_mpsc::Receiver<()>>>>,
-    blocked: Arc<tokio::sync::Notify>,
-}
-
-impl Exchange for RecordingTransport {
-    fn exchange(&self, server: &Endpoint, request: UpstreamRequest) -> BoxFuture<AttemptResult> {
-        if &*request.object == BLOCKING_OBJECT {
-            self.blocked.notify_one();
-            let block = self.block.lock().expect("a lock").take().expect("a receiver");
-            let _ = block.recv(); // ends when the sender is dropped
-        } else {
-            let attempt = (request.class.to_string(), server.name.to_string());
-            self.forwarded.lock().expect("a lock").push(attempt);
-        }
-        let status = ResponseStatus::Ok(Representation { etag: None, body: "bytes".into() });
-        let cache_status = CacheStatus::Hit;
-        let response = UpstreamResponse { status, cache_status, source_wait: 0, load_report: Vec::new() };
-        Box::pin(async { Ok(response) })
-    }
-}
-
 /// Returns the settings of a reload. Each changes one class, `filing` and `videos` in turn, so that no two
 /// are the same.
 fn changed_settings(number: usize) -> Settings {
@@ -62,25 +36,30 @@
     pub director: Director,
     service: DirectorService,
     transport: RecordingTransport,
+    /// Received by the attempt that blocks the director.
+    block: Arc<Mutex<Option<std_mpsc::Receiver<()>>>>,
+    /// Notified when the director is blocked.
+    blocked: Arc<Notify>,
 }
 
 impl Host {
     pub fn start() -> Host {
-        let transport = RecordingTransport::default();
-        let members = vec![
-            endpoint_listing("cache-1", "a", "edge", "cache"),
-            endpoint_listing("parent-1", "b", "hub", "parent"),
-            endpoint_listing("origin-1", "c", "hub", "origin"),
-        ];
-        let builder = Director::builder(settings()).endpoint_source(StaticEndpoints(members)).seed(7);
-        let director = builder.connector(HostTransport::new(transport.clone())).start().expect("a director");
+        let (block, blocked) = (Arc::default(), Arc::new(Notify::new()));
+        let (to_receive, to_notify) = (Arc::clone(&block), blocked.clone());
+        let transport = RecordingTransport::new(move |_, request| {
+            if &*request.object == BLOCKING_OBJECT {
+                wait_until_unblocked(&to_receive, &to_notify);
+            }
+            served()
+        });
+        let director = start_director(&transport);
         let service = DirectorService::new(director.clone(), Arc::new(OutcomeCounters::default()));
-        Host { director, service, transport }
+        Host { director, service, transport, block, blocked }
     }
 
     /// Returns the class and the server of each attempt so far.
     pub fn forwarded(&self) -> Vec<(String, String)> {
-        self.transport.forwarded.lock().expect("a lock").clone()
+        self.transport.exchanges().into_iter().map(|attempt| (attempt.class, attempt.server)).collect()
     }
 
     /// Applies changed settings and returns once they are in force.
@@ -99,16 +78,16 @@
     /// Blocks the director's thread until the returned sender is dropped.
     pub async fn block_director(&self) -> std_mpsc::Sender<()> {
         let (unblock, block) = std_mpsc::channel();
-        *self.transport.block.lock().expect("a lock") = Some(block);
+        *self.block.lock().expect("a lock") = Some(block);
         tokio::spawn(self.director.send(CacheRequest::new("videos", BLOCKING_OBJECT)));
-        self.transport.blocked.notified().await;
+        self.blocked.notified().await;
         unblock
     }
 
     /// Begins a write through the middleware, and returns once the middleware waits for the body.
     pub async fn begin_upload(&self, path: &str) -> Upload {
         let (parts, received) = mpsc::unbounded_channel();
-        let polled = Arc::new(tokio::sync::Notify::new());
+        let polled = Arc::new(Notify::new());
         let body = ChannelBody { received, polled: polled.clone() };
         let request = Request::put(path).body(body).expect("a valid request");
         let service = self.service.clone();
@@ -121,6 +100,12 @@
     }
 }
 
+fn wait_until_unblocked(block: &Mutex<Option<std_mpsc::Receiver<()>>>, blocked: &Notify) {
+    blocked.notify_one();
+    let block = block.lock().expect("a lock").take().expect("a receiver");
+    let _ = block.recv(); // ends when the sender is dropped
+}
+
 /// A write whose body is sent in parts.
 pub struct Upload {
     parts: Option<mpsc::UnboundedSender<Bytes>>,
@@ -145,7 +130,7 @@
 struct ChannelBody {
     received: mpsc::UnboundedReceiver<Bytes>,
     /// Notified when the body is read.
-    polled: Arc<tokio::sync::Notify>,
+    polled: Arc<Notify>,
 }
 
 impl http_body::Body for ChannelBody {
